--- /dev/null
+++ b/src/bookkeeping/aims.rs
@@ -0,0 +1,90 @@
+//! The aims that the settings repeat, and how well they are met of late.
+
+use crate::protocol::user::{Form, JobSpec};
+use crate::settings::Objective;
+
+/// Ends that weigh in the running share: older ones fade.
+const MEMORY: f64 = 16.0;
+
+#[derive(Debug)]
+pub struct Aims {
+    list: Vec<Objective>,
+    /// Running share of jobs that met each aim.
+    met: Vec<f64>,
+}
+
+impl Aims {
+    pub fn new(list: Vec<Objective>) -> Aims {
+        let met = list.iter().map(|o| (1.0 + o.share.unwrap_or(0.0)) / 2.0).collect();
+        Aims { list, met }
+    }
+
+    fn of<'a>(&'a self, kind: &'a str, class: &'a str) -> impl Iterator<Item = &'a Objective> {
+        self.list.iter().filter(move |o| o.kind == kind && o.class.as_deref() == Some(class))
+    }
+
+    /// Seconds from submission within which the job should have started.
+    pub fn start_within(&self, spec: &JobSpec) -> Option<f64> {
+        self.of("wait", &spec.docket).filter_map(|o| o.within_s).reduce(f64::min)
+    }
+
+    /// Seconds from submission within which the job should be over.
+    pub fn end_within(&self, spec: &JobSpec) -> Option<f64> {
+        if spec.form == Form::Standing {
+            return None;
+        }
+        let finished = self.of("finished", &spec.docket).filter_map(|o| o.within_s).reduce(f64::min);
+        let due = spec.due_s.map(|d| d * self.of("deadline", &spec.docket).filter_map(|o| o.times).fold(1.0, f64::max));
+        [finished, due].into_iter().flatten().reduce(f64::min)
+    }
+
+    /// Notes a job that is done, this long after its submission.
+    pub fn note_end(&mut self, spec: &JobSpec, took_s: f64) {
+        for (o, met) in self.list.iter().zip(&mut self.met) {
+            let within = match o.kind.as_str() {
+                "finished" => o.within_s,
+                "deadline" => spec.due_s.map(|d| d * o.times.unwrap_or(1.0)),
+                _ => None,
+            };
+            if let Some(w) = within
+                && o.class.as_deref() == Some(&spec.docket)
+            {
+                let hit = if took_s <= w { 1.0 } else { 0.0 };
+                *met += (hit - *met) / MEMORY;
+            }
+        }
+    }
+
+    /// Whether some aim is missed of late: machines are worth keeping then.
+    pub fn behind(&self) -> bool {
+        self.list.iter().zip(&self.met).any(|(o, met)| o.share.is_some_and(|s| *met < s))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn misses_show_and_fade() {
+        let o = Objective {
+            kind: "finished".into(),
+            class: Some("c".into()),
+            within_s: Some(10.0),
+            share: Some(0.8),
+            times: None,
+        };
+        let mut aims = Aims::new(vec![o]);
+        let spec = crate::protocol::user::tests::spec("run-1");
+        assert_eq!(aims.end_within(&spec), Some(10.0));
+        assert!(!aims.behind());
+        for _ in 0..3 {
+            aims.note_end(&spec, 11.0);
+        }
+        assert!(aims.behind());
+        for _ in 0..9 {
+            aims.note_end(&spec, 9.0);
+        }
+        assert!(!aims.behind());
+    }
+}
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -1,6 +1,7 @@
 //! What is known of jobs, tasks, machines and members: the records of the
 //! state service as this controller sees them, and what follows from them.
 
+pub mod aims;
 pub mod records;
 
 use crate::protocol::user::{JobSpec, Status};
@@ -78,6 +79,8 @@
     pub ended: HashMap<Box<str>, Ended>,
     /// Tasks placed on each machine, by (job, index), with their attempt.
     pub placed: HashMap<String, Placements>,
+    /// Jobs that were seen to be done: the spec and the time of submission.
+    pub finished: Vec<(JobSpec, u64)>,
     /// Chunks whose job record has not been seen yet.
     orphans: BTreeMap<(String, u32), Versioned<ChunkRec>>,
     /// Version of each limited team's record: it changes with every start.
@@ -123,6 +126,11 @@
         // for their team.
         let Some(spec) = rec.spec.clone() else {
             if let Some(status) = rec.end {
+                if status == Status::Done
+                    && let Some(j) = self.jobs.get(uid)
+                {
+                    self.finished.push((j.spec.clone(), j.rec.rec.at_ms));
+                }
                 self.drop_job(uid);
                 let ended = Ended { status, parcels: rec.parcels };
                 self.ended.insert(uid.into(), ended);
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -390,7 +390,7 @@
     }
 
     /// Free room that is there or on its way.
-    fn expected_rooms(&self) -> Vec<Room> {
+    pub(super) fn expected_rooms(&self) -> Vec<Room> {
         let mut rooms: Vec<Room> = self.rooms(true).into_iter().map(|(_, r)| r).collect();
         let coming = |name: &str| !self.view.hosts.contains_key(name) && !self.gone.contains(name);
         for (name, l) in &self.list {
@@ -488,7 +488,7 @@
         }
         let view = &self.view;
         self.empty_since.retain(|n, _| view.hosts.contains_key(n));
-        let Some((name, version)) = idle else { return };
+        let Some((name, version)) = idle.filter(|_| !self.aims.behind()) else { return };
         let key = records::host_key(&name);
         if self.busy.contains(&key) || !self.writes.has(now, self.writes.rate / 2.0) {
             return;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -9,6 +9,7 @@
 mod work;
 
 use crate::bookkeeping::View;
+use crate::bookkeeping::aims::Aims;
 use crate::bookkeeping::records::{self, Versioned};
 use crate::coordination::machine::Machine;
 use crate::coordination::session::Session;
@@ -156,9 +157,11 @@
     cloud: Bucket,
     peers: HashMap<String, PeerView>,
     sack: Knapsack,
+    aims: Aims,
     dirty: bool,
     schedule_next: Instant,
     beat_next: Instant,
+    summary_next: Instant,
     lead_next: Instant,
     relet_next: Instant,
     epoch: u64,
@@ -216,9 +219,11 @@
             cloud: Bucket::new(p.cloud.rps / n),
             peers: HashMap::new(),
             sack: Knapsack::default(),
+            aims: Aims::new(p.objectives.clone()),
             dirty: false,
             schedule_next: Duration::ZERO,
             beat_next: Duration::ZERO,
+            summary_next: Duration::ZERO,
             lead_next: Duration::ZERO,
             relet_next: Duration::ZERO,
             epoch: 0,
@@ -276,6 +281,37 @@
             self.beat_next = self.now + self.secs(self.set.settings.workers.report_s / 2.0);
             self.beat();
         }
+        if self.now >= self.summary_next {
+            self.summary_next = self.now + self.report_s(4.0);
+            self.summary();
+        }
+    }
+
+    /// The state of the whole cluster, from the leader, at a steady interval.
+    fn summary(&self) {
+        if !self.am_leader() {
+            return;
+        }
+        let rooms = self.rooms(true);
+        let sum = |f: fn(&crate::placement::Room) -> f64| rooms.iter().map(|(_, r)| f(r)).sum::<f64>();
+        let mut waiting: BTreeMap<&str, u32> = BTreeMap::new();
+        for j in self.view.jobs.values() {
+            let n = j.waiting(self.view.chunk_size).len() as u32;
+            if n > 0 {
+                *waiting.entry(&j.spec.docket).or_default() += n;
+            }
+        }
+        let booting = self.expected_rooms().len() - rooms.len();
+        tracing::debug!(
+            jobs = self.view.jobs.len(),
+            ?waiting,
+            machines = rooms.len(),
+            booting,
+            cores = sum(|r| r.total_cores),
+            free_cores = sum(|r| r.cores),
+            behind = self.aims.behind(),
+            "cluster"
+        );
     }
 
     /// Tells the other controllers what is seen from here.
@@ -428,6 +464,10 @@
 
     /// What waits for the view to move is looked at again.
     fn view_changed(&mut self) {
+        for (spec, at_ms) in std::mem::take(&mut self.view.finished) {
+            let took_s = self.wall_ms().saturating_sub(at_ms) as f64 / 1000.0;
+            self.aims.note_end(&spec, took_s);
+        }
         self.retry_held();
         self.answer_queries();
     }
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -11,6 +11,9 @@
 use crate::settings::Team;
 
 /// Bytes of one transaction that may go to chunk records, as a share of the limit.
+/// Estimates are often wrong by half: a job counts as late once its aim would
+/// be missed by a run of this part of the estimate.
+const HOPE: f64 = 0.7;
 const CHUNK_SHARE: f64 = 0.75;
 
 impl Controller {
@@ -243,7 +246,13 @@
                 }
             }
             let waited_s = now.saturating_sub(since).as_secs_f64();
-            waiting.push(Waiting { spec: &job.spec, tasks, waited_s, zones });
+            let age_s = self.wall_ms().saturating_sub(job.rec.rec.at_ms) as f64 / 1000.0;
+            let aim_s = self.aims.end_within(&job.spec);
+            let slack_s = aim_s.map_or(f64::INFINITY, |a| a - age_s - job.spec.expected_s * HOPE);
+            let left = f64::from(job.spec.parcels - job.done);
+            let work = left * job.spec.cores * job.spec.expected_s;
+            let start_within_s = self.aims.start_within(&job.spec);
+            waiting.push(Waiting { spec: &job.spec, tasks, waited_s, zones, slack_s, work, start_within_s, aim_s });
         }
         if waiting.is_empty() {
             return Vec::new();
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -20,6 +20,7 @@
     pub gpus: f64,
     pub mem_gb: f64,
     pub total_cores: f64,
+    pub pull_gb_per_s: f64,
     /// Images that are believed to be on the machine.
     pub images: BTreeSet<String>,
 }
@@ -35,6 +36,7 @@
             gpus: t.gpus,
             mem_gb: t.mem_gb,
             total_cores: t.cores,
+            pull_gb_per_s: t.pull_gb_per_s,
             images: BTreeSet::new(),
         }
     }
@@ -65,6 +67,12 @@
     }
 }
 
+/// Fetch rates vary by a third, and fetches share them.
+const FETCH_MARGIN: f64 = 0.7;
+/// Weight of the order among tasks of equal value; too small to outweigh value.
+const TIE: f32 = 1e-3;
+/// A job that has an aim is taken first-fit only after this many times it.
+const AIMS_WAITED: f64 = 4.0;
 /// Rounding allowed when amounts are summed and compared.
 const SLACK: f64 = 1e-6;
 
@@ -77,9 +85,28 @@
     pub waited_s: f64,
     /// Tasks of the job per zone that are, or may still be, on machines.
     pub zones: BTreeMap<String, u32>,
+    /// What its aim leaves after a run of the expected length; negative: the
+    /// aim is missed already. Infinite for jobs without one.
+    pub slack_s: f64,
+    /// Work left, in CPU seconds.
+    pub work: f64,
+    /// The aim asks for a start this soon after the submission.
+    pub start_within_s: Option<f64>,
+    /// The aim asks for the end this soon after the submission.
+    pub aim_s: Option<f64>,
 }
 
 impl Waiting<'_> {
+    fn late(&self) -> bool {
+        self.slack_s < 0.0
+    }
+
+    /// Whether the image is on the machine, or comes soon enough for the aim.
+    fn starts_soon(&self, room: &Room) -> bool {
+        let Some(within) = self.start_within_s else { return true };
+        room.images.contains(&self.spec.bundle) || self.spec.size_gb <= room.pull_gb_per_s * within * FETCH_MARGIN
+    }
+
     /// How many more tasks the job may have in this zone.
     fn zone_room(&self, site: &str) -> u32 {
         let here = self.zones.get(site).copied().unwrap_or(0);
@@ -128,18 +155,22 @@
         for w in &mut jobs {
             if w.spec.form == Form::Ensemble {
                 gang(rooms, w, &reserved, &mut starts);
-            } else if w.waited_s >= rules.wait_limit_s {
+            } else if w.waited_s >= rules.wait_limit(w) {
                 first_fit(rooms, w, &reserved, &mut starts);
             }
-            if w.waited_s >= rules.wait_limit_s && !w.tasks.is_empty() {
+            if w.waited_s >= rules.wait_limit(w) && !w.tasks.is_empty() {
                 reserve(rooms, w, &mut reserved);
             }
         }
-        // Machines that hold the image go first, then whatever has room.
-        for local in [true, false] {
+        // Among equals the job with the least work left goes first: that way
+        // most jobs meet their aim when there is not room for all.
+        jobs.sort_by(|a, b| a.work.total_cmp(&b.work));
+        // Jobs that can still meet their aim go first, and for each machines
+        // that hold the image.
+        for tier in [false, true].into_iter().flat_map(|late| PASSES.map(|p| (late, p))) {
             for room in rooms.iter_mut() {
                 if !reserved.contains(&room.machine) {
-                    fill(room, &mut jobs, local, rules, sack, &mut starts);
+                    fill(room, &mut jobs, tier, rules, sack, &mut starts);
                 }
             }
         }
@@ -147,6 +178,25 @@
     starts
 }
 
+impl Rules {
+    fn wait_limit(&self, w: &Waiting) -> f64 {
+        let aim = w.spec.due_s.or(w.aim_s).unwrap_or(0.0);
+        self.wait_limit_s.max(aim * AIMS_WAITED)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Pass {
+    /// The machine holds the image.
+    Local,
+    /// The image comes soon enough for the aim.
+    Soon,
+    /// The aim is lost, or no machine of the block could keep it.
+    Any,
+}
+
+const PASSES: [Pass; 3] = [Pass::Local, Pass::Soon, Pass::Any];
+
 fn start(room: &mut Room, w: &mut Waiting, n: u32, starts: &mut Vec<Start>) {
     room.take(w.spec, n);
     *w.zones.entry(room.site.clone()).or_default() += n;
@@ -163,7 +213,7 @@
 fn fill(
     room: &mut Room,
     jobs: &mut [&mut Waiting],
-    local: bool,
+    tier: (bool, Pass),
     rules: &Rules,
     sack: &mut Knapsack,
     starts: &mut Vec<Start>,
@@ -172,8 +222,13 @@
     let mut groups = Vec::new();
     for (id, w) in jobs.iter().enumerate() {
         let count = able(room, w);
-        let here = room.images.contains(&w.spec.bundle);
-        if w.spec.form == Form::Ensemble || count == 0 || (local && !here) {
+        let (late, pass) = tier;
+        let goes = match pass {
+            Pass::Local => room.images.contains(&w.spec.bundle),
+            Pass::Soon => w.starts_soon(room),
+            Pass::Any => w.start_within_s.is_none_or(|s| w.waited_s > s),
+        };
+        if w.spec.form == Form::Ensemble || count == 0 || w.late() != late || !goes {
             continue;
         }
         groups.push(Group {
@@ -181,7 +236,7 @@
             count,
             mem: steps(w.spec.mem_gb),
             cpu: ((w.spec.cores - SLACK) * CPU_STEPS).ceil().max(0.0) as u32,
-            value: value(w.spec.cores, room.total_cores),
+            value: value(w.spec.cores, room.total_cores) + TIE * (1.0 - id as f32 / jobs.len() as f32),
         });
     }
     if groups.is_empty() {
@@ -214,7 +269,7 @@
     }
     for site in sites {
         let mut trial = rooms.to_vec();
-        let mut tasks = Waiting { spec: w.spec, tasks: w.tasks.clone(), waited_s: w.waited_s, zones: w.zones.clone() };
+        let mut tasks = Waiting { tasks: w.tasks.clone(), zones: w.zones.clone(), ..*w };
         let mut found = Vec::new();
         for room in trial.iter_mut() {
             let elsewhere = site.as_ref().is_some_and(|s| *s != room.site);
--- a/src/protocol/user.rs
+++ b/src/protocol/user.rs
@@ -142,3 +142,74 @@
         },
     }
 }
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+    use crate::protocol::{decode, encode};
+    use ciborium::Value;
+
+    pub(crate) fn spec(uid: &str) -> JobSpec {
+        JobSpec {
+            uid: uid.into(),
+            docket: "c".into(),
+            desk: "d".into(),
+            form: Form::Batch,
+            urgency: Urgency::Standard,
+            parcels: 2,
+            cores: 1.0,
+            gpus: 0.0,
+            mem_gb: 1.0,
+            bundle: "img".into(),
+            size_gb: 1.0,
+            builds: None,
+            site: None,
+            together: false,
+            apart: false,
+            loaners: true,
+            expected_s: 10.0,
+            stamp_every_s: 0.0,
+            stamp_s: 0.0,
+            due_s: None,
+        }
+    }
+
+    fn with(field: &str, value: Option<Value>) -> Vec<u8> {
+        let Ok(Value::Map(mut map)) = Value::serialized(&spec("run-1")) else { panic!("not a map") };
+        map.retain(|(k, _)| k.as_text() != Some(field));
+        map.extend(value.map(|v| (Value::Text(field.into()), v)));
+        encode(&Value::Map(map))
+    }
+
+    fn taken(body: &[u8]) -> bool {
+        decode::<JobSpec>(body).is_ok_and(|s| s.well_formed())
+    }
+
+    /// Each of these must be a 400, for ever: users do not repeat a 400.
+    #[test]
+    fn malformed_submissions_are_told_from_good_ones() {
+        assert!(taken(&with("extra", Some(Value::Bool(true)))));
+        assert!(taken(&with("cores", Some(Value::Integer(4.into())))));
+        assert!(taken(&with("due_s", None)) && taken(&with("due_s", Some(Value::Null))));
+        for field in ["uid", "docket", "form", "urgency", "parcels", "cores", "bundle", "together", "loaners"] {
+            assert!(!taken(&with(field, None)), "{field}");
+            assert!(!taken(&with(field, Some(Value::Null))), "{field}");
+        }
+        for (field, bad) in [
+            ("uid", Value::Text("job-1".into())),
+            ("uid", Value::Text("run-1/2".into())),
+            ("parcels", Value::Integer(0.into())),
+            ("parcels", Value::Integer(100_001.into())),
+            ("parcels", Value::Float(1.5)),
+            ("mem_gb", Value::Float(f64::NAN)),
+            ("cores", Value::Float(-1.0)),
+            ("expected_s", Value::Float(f64::INFINITY)),
+            ("form", Value::Text("other".into())),
+            ("due_s", Value::Text("soon".into())),
+        ] {
+            assert!(!taken(&with(field, Some(bad.clone()))), "{field} {bad:?}");
+        }
+        assert!(!taken(&encode(&Value::Array(vec![]))) && !taken(b"") && !taken(&[0xff]));
+        assert!(!taken(&[0x81; 5000]), "deep nesting");
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -80,6 +80,7 @@
     pub class: Option<String>,
     pub within_s: Option<f64>,
     pub share: Option<f64>,
+    pub times: Option<f64>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
