--- a/src/bookkeeping/aims.rs
+++ b/src/bookkeeping/aims.rs
@@ -3,8 +3,9 @@
 use crate::protocol::user::{Form, JobSpec};
 use crate::settings::Objective;
 
-/// Ends that weigh in the running share: older ones fade.
-const MEMORY: f64 = 16.0;
+/// Misses that the running share remembers when an aim is just kept: a share
+/// of 0.9 is told from one of 0.95 only over some twenty ends.
+const MISSES: f64 = 2.0;
 
 #[derive(Debug)]
 pub struct Aims {
@@ -50,7 +51,8 @@
                 && o.class.as_deref() == Some(&spec.docket)
             {
                 let hit = if took_s <= w { 1.0 } else { 0.0 };
-                *met += (hit - *met) / MEMORY;
+                let memory = MISSES / (1.0 - o.share.unwrap_or(0.0)).max(0.01);
+                *met += (hit - *met) / memory;
             }
         }
     }
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -2,7 +2,7 @@
 //! anew, closing finished records, renting machines and returning idle ones.
 //! Every write is conditional on the lead still being ours.
 
-use super::work::end_op;
+use super::work::{HOPE, end_op};
 use super::*;
 use crate::coordination::blocks::{self, wanted_moves};
 use crate::fleet::{Demand, Offer, fits, wanted_rentals};
@@ -15,6 +15,11 @@
 use crate::protocol::{decode, encode};
 use records::{HostRec, JobRec, LeadRec, TermRec};
 
+/// A job that will be late gets machines for one in this many of its tasks.
+const LATE_SHARE: u32 = 4;
+/// Idle machines are kept this many times longer while aims are missed.
+const BEHIND_KEEPS: f64 = 10.0;
+
 impl Controller {
     pub(super) fn lead_tick(&mut self) {
         let now = self.now;
@@ -416,10 +421,19 @@
     /// Waiting tasks, and room to spare for classes that must start soon.
     fn demand(&self) -> Vec<Demand<'_>> {
         let size = self.view.chunk_size;
+        let behind = self.aims.behind();
+        let boot = self.types.iter().map(|t| t.startup_s).fold(f64::MAX, f64::min);
         let mut out: Vec<Demand> = Vec::new();
         let mut spare: BTreeMap<&str, (&JobSpec, u32)> = BTreeMap::new();
         for j in self.view.jobs.values().filter(|j| !j.withdrawn()) {
-            let n = j.waiting(size).len() as u32;
+            let mut n = j.waiting(size).len() as u32;
+            // A machine rented now does not save a job that will be late all
+            // the same: it makes do with less, unless aims are missed already.
+            let age_s = self.wall_ms().saturating_sub(j.rec.rec.at_ms) as f64 / 1000.0;
+            let lost = self.aims.end_within(&j.spec).is_some_and(|a| a - age_s < boot + j.spec.expected_s * HOPE);
+            if lost && !behind {
+                n = n.div_ceil(LATE_SHARE);
+            }
             if n > 0 {
                 out.push(Demand { spec: &j.spec, tasks: n });
             }
@@ -448,7 +462,17 @@
         }
         let refused: BTreeSet<Offer> = self.refused.keys().cloned().collect();
         let rentals = wanted_rentals(&self.demand(), self.expected_rooms(), &self.types, &refused, RENT_LIMIT);
-        for r in rentals {
+        for mut r in rentals {
+            // Machines on their way out are the quickest to have.
+            while let Some(name) = self.draining(&r.offer).filter(|_| r.number > 0 && self.writes.has(self.now, 1.0)) {
+                if !self.mark_drain(&name, false) {
+                    break;
+                }
+                r.number -= 1;
+            }
+            if r.number == 0 {
+                continue;
+            }
             if !self.cloud.has(self.now, 1.0) {
                 return;
             }
@@ -468,41 +492,75 @@
         }
     }
 
-    /// Marks a machine for return that was empty for long and is not needed.
+    /// Marks a machine for return once its room, or as much, stayed free for
+    /// long: it takes nothing new and goes when it is empty. The time is the
+    /// boot time, at which keeping a machine has cost as much as renting again.
     fn return_idle(&mut self) {
         let now = self.now;
-        let mut idle: Option<(String, u64)> = None;
-        let names: Vec<String> = self.view.hosts.keys().cloned().collect();
-        for name in names {
-            if self.view.placed.contains_key(&name) {
-                self.empty_since.remove(&name);
-                continue;
-            }
-            let since = *self.empty_since.entry(name.clone()).or_insert(now);
-            let Some(h) = self.view.hosts.get(&name) else { continue };
-            let boot = self.machine_type(&h.rec.build).map_or(f64::MAX, |t| t.startup_s);
-            let rest = self.secs((boot * self.set.operator.idle_boots).min(1e6));
-            if !h.rec.drain && now.saturating_sub(since) > rest {
-                idle = Some((name, h.version));
-            }
-        }
-        let view = &self.view;
-        self.empty_since.retain(|n, _| view.hosts.contains_key(n));
-        let Some((name, version)) = idle.filter(|_| !self.aims.behind()) else { return };
-        let key = records::host_key(&name);
-        if self.busy.contains(&key) || !self.writes.has(now, self.writes.rate / 2.0) {
+        let rooms = self.rooms(true);
+        let busy = self.view.jobs.values().any(|j| j.spec.form != Form::Standing);
+        let patience = self.set.operator.idle_boots * if busy && self.aims.behind() { BEHIND_KEEPS } else { 1.0 };
+        let boot = self.types.iter().map(|t| t.startup_s).fold(0.0, f64::max);
+        let free: f64 = rooms.iter().map(|(_, r)| r.cores.max(0.0)).sum();
+        self.slack.push_back((now, free));
+        let window = self.secs(boot * patience);
+        let Some(from) = now.checked_sub(window) else { return };
+        let mut whole = false;
+        while self.slack.front().is_some_and(|(t, _)| *t < from) {
+            self.slack.pop_front();
+            whole = true;
+        }
+        let least = self.slack.iter().map(|s| s.1).fold(f64::INFINITY, f64::min);
+        let demand = self.demand();
+        let standing = |name: &str| {
+            let on = self.view.placed.get(name).into_iter().flat_map(|p| p.keys());
+            on.filter(|(job, _)| self.view.jobs.get(job).is_some_and(|j| j.spec.form == Form::Standing)).count()
+        };
+        // Services are not moved for this; of the rest, the least used goes,
+        // and the dearer kind first.
+        let candidate = rooms
+            .iter()
+            .map(|(_, r)| r)
+            .filter(|r| r.total_cores <= least && standing(&r.machine) == 0)
+            .filter(|r| !self.busy.contains(&records::host_key(&r.machine)))
+            .min_by(|a, b| {
+                let used = |r: &Room| r.total_cores - r.cores;
+                a.spot.cmp(&b.spot).then(used(a).total_cmp(&used(b))).then_with(|| b.machine.cmp(&a.machine))
+            });
+        let Some(c) = candidate.filter(|_| whole) else { return };
+        let (name, cores) = (c.machine.clone(), c.cores);
+        let mut others: Vec<Room> = rooms.iter().map(|(_, r)| r).filter(|r| r.machine != name).cloned().collect();
+        if !fits(&demand, &mut others) || !self.writes.has(now, self.writes.rate / 2.0) {
             return;
         }
-        let mut rooms: Vec<Room> = self.rooms(true).into_iter().map(|(_, r)| r).filter(|r| r.machine != name).collect();
-        if !fits(&self.demand(), &mut rooms) {
-            return;
+        if self.mark_drain(&name, true) {
+            for s in &mut self.slack {
+                s.1 -= cores;
+            }
         }
-        let Some(h) = self.view.hosts.get(&name) else { return };
-        let rec = HostRec { drain: true, ..h.rec.clone() };
+    }
+
+    fn mark_drain(&mut self, name: &str, drain: bool) -> bool {
+        let key = records::host_key(name);
+        let Some(h) = self.view.hosts.get(name) else { return false };
+        if self.busy.contains(&key) {
+            return false;
+        }
+        tracing::debug!(machine = %name, drain, "machine marked");
+        let rec = HostRec { drain, ..h.rec.clone() };
         let txn = Txn {
-            conds: vec![self.lead_cond(), Cond { key: key.clone(), entry_no: version }],
+            conds: vec![self.lead_cond(), Cond { key: key.clone(), entry_no: h.version }],
             ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
         };
         self.txn_keyed(txn, Why::Other);
+        true
+    }
+
+    /// A machine of this kind that is being drained, and not released yet.
+    fn draining(&self, offer: &Offer) -> Option<String> {
+        let same = |h: &HostRec| h.drain && h.build == offer.build && h.site == offer.site && h.spot == offer.spot;
+        let placed = |name: &str| self.view.placed.contains_key(name);
+        let found = self.view.hosts.iter().find(|(n, h)| same(&h.rec) && placed(n) && self.view.owned(&h.rec));
+        found.map(|(n, _)| n.clone())
     }
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -20,7 +20,7 @@
 use crate::protocol::store::{self, Txn};
 use crate::protocol::worker::Report;
 use crate::settings::Settings;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 /// Why a call was made; decides what its answer means.
@@ -158,6 +158,8 @@
     peers: HashMap<String, PeerView>,
     sack: Knapsack,
     aims: Aims,
+    /// When the first machine was seen, by the time of day.
+    fleet_since_ms: Option<u64>,
     dirty: bool,
     schedule_next: Instant,
     beat_next: Instant,
@@ -174,7 +176,8 @@
     rented: BTreeMap<String, Rented>,
     renting: u32,
     refused: BTreeMap<crate::fleet::Offer, Instant>,
-    empty_since: HashMap<String, Instant>,
+    /// Free cores of late, for the least that stayed free.
+    slack: VecDeque<(Instant, f64)>,
     /// Releases that got no answer yet, and those that did: nothing is left there.
     releasing: BTreeSet<String>,
     gone: BTreeSet<String>,
@@ -220,6 +223,7 @@
             peers: HashMap::new(),
             sack: Knapsack::default(),
             aims: Aims::new(p.objectives.clone()),
+            fleet_since_ms: None,
             dirty: false,
             schedule_next: Duration::ZERO,
             beat_next: Duration::ZERO,
@@ -236,7 +240,7 @@
             rented: BTreeMap::new(),
             renting: 0,
             refused: BTreeMap::new(),
-            empty_since: HashMap::new(),
+            slack: VecDeque::new(),
             releasing: BTreeSet::new(),
             gone: BTreeSet::new(),
             release_tokens: 1.0,
@@ -464,7 +468,14 @@
 
     /// What waits for the view to move is looked at again.
     fn view_changed(&mut self) {
+        if self.fleet_since_ms.is_none() && !self.view.hosts.is_empty() {
+            self.fleet_since_ms = Some(self.wall_ms());
+        }
         for (spec, at_ms) in std::mem::take(&mut self.view.finished) {
+            // What came before any machine was up says nothing of their number.
+            if self.fleet_since_ms.is_none_or(|t| at_ms < t) {
+                continue;
+            }
             let took_s = self.wall_ms().saturating_sub(at_ms) as f64 / 1000.0;
             self.aims.note_end(&spec, took_s);
         }
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -13,7 +13,7 @@
 /// Bytes of one transaction that may go to chunk records, as a share of the limit.
 /// Estimates are often wrong by half: a job counts as late once its aim would
 /// be missed by a run of this part of the estimate.
-const HOPE: f64 = 0.7;
+pub(super) const HOPE: f64 = 0.7;
 const CHUNK_SHARE: f64 = 0.75;
 
 impl Controller {
@@ -258,8 +258,12 @@
             return Vec::new();
         }
         let mut rooms: Vec<Room> = self.rooms(false).into_iter().map(|(_, r)| r).collect();
-        // The fullest machines first, so that others stay empty.
-        rooms.sort_by(|a, b| a.cores.total_cmp(&b.cores).then_with(|| a.machine.cmp(&b.machine)));
+        // Spot machines first, so that ordinary ones stay free for tasks that
+        // need them; then the fullest, so that others stay empty.
+        rooms.sort_by(|a, b| {
+            let spot = b.spot.cmp(&a.spot);
+            spot.then(a.cores.total_cmp(&b.cores)).then_with(|| a.machine.cmp(&b.machine))
+        });
         let op = &self.set.operator;
         let rules = Rules { window: op.window, step_gb: op.step_mb / 1024.0, wait_limit_s: op.wait_limit_s };
         plan(&mut rooms, &mut waiting, &rules, &mut self.sack)
