--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -45,7 +45,23 @@
         if self.withdrawn() || self.done + self.placed >= self.spec.parcels {
             return Vec::new();
         }
-        (0..self.spec.parcels).filter(|i| !self.is_done(*i, size) && self.place(*i, size).is_none()).collect()
+        let mut taken = vec![false; self.spec.parcels as usize];
+        for (n, c) in &self.chunks {
+            let end = ((n + 1) * size).min(self.spec.parcels);
+            for (from, to) in &c.rec.done {
+                let to = (to + 1).min(end);
+                taken[(*from).min(to) as usize..to as usize].fill(true);
+            }
+            for p in c.rec.on.iter().filter(|p| p.index < end) {
+                taken[p.index as usize] = true;
+            }
+        }
+        (0..self.spec.parcels).filter(|i| !taken[*i as usize]).collect()
+    }
+
+    /// How many tasks are neither done nor started.
+    pub fn waiting_count(&self) -> u32 {
+        if self.withdrawn() { 0 } else { self.spec.parcels.saturating_sub(self.done + self.placed) }
     }
 
     pub fn status(&self) -> Status {
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -53,8 +53,7 @@
             return;
         }
         let lead = self.view.lead.as_ref();
-        if lead.is_some_and(|l| self.view.is_live(&l.rec.member, l.rec.incarnation)) || !self.writes.has(self.now, 2.0)
-        {
+        if lead.is_some_and(|l| self.view.is_live(&l.rec.member, l.rec.incarnation)) || !self.may_write(2.0) {
             return;
         }
         let term = self.view.term.as_ref().map_or(0, |t| t.rec.term) + 1;
@@ -81,7 +80,7 @@
     pub(super) fn txn_keyed(&mut self, txn: Txn, why: Why) {
         let mut keys: Vec<String> = txn.conds.iter().map(|c| c.key.clone()).collect();
         keys.retain(|k| k != records::LEAD_KEY);
-        self.writes.spend(txn.ops.len() as f64);
+        self.writes.spend(self.now, txn.ops.len() as f64);
         self.busy.extend(keys.iter().cloned());
         let body = encode(&txn);
         let timeout = self.report_s(1.0);
@@ -91,7 +90,7 @@
     /// A machine that reports and is not known: it joins the lightest block.
     pub(super) fn enrol(&mut self, report: &Report) {
         let key = records::host_key(&report.machine);
-        if self.busy.contains(&key) || self.gone.contains(&report.machine) || !self.writes.has(self.now, 1.0) {
+        if self.busy.contains(&key) || self.gone.contains(&report.machine) || !self.may_write(1.0) {
             return;
         }
         let mut load = BTreeMap::new();
@@ -130,7 +129,7 @@
         let limit = self.set.settings.state.txn_ops.min(self.writes.rate as usize).max(1);
         let deaf = self.deaf_machines();
         let moves = wanted_moves(&self.view, &deaf, limit);
-        if moves.is_empty() || !self.writes.has(self.now, moves.len() as f64) {
+        if moves.is_empty() || !self.may_write(moves.len() as f64) {
             return;
         }
         let mut txn = Txn { conds: vec![self.lead_cond()], ops: Vec::new() };
@@ -216,7 +215,7 @@
             txns.push(txn);
         }
         for txn in txns {
-            if self.writes.has(self.now, txn.ops.len() as f64) {
+            if self.may_write(txn.ops.len() as f64) {
                 self.txn(txn, Why::Other);
             }
         }
@@ -230,10 +229,10 @@
         let patient = self.report_s(0.25);
         let mut txns = Vec::new();
         for (uid, j) in &self.view.jobs {
-            let waits = j.waiting(size);
-            if waits.is_empty() || self.busy.contains(&records::job_key(uid)) {
+            if j.waiting_count() == 0 || self.busy.contains(&records::job_key(uid)) {
                 continue;
             }
+            let waits = j.waiting(size);
             let shares = &j.rec.rec.shares;
             let holder = |i: u32| shares.iter().find(|s| (s.from..=s.to).contains(&i)).map(|s| s.member.as_str());
             let lost = waits.iter().any(|i| holder(*i).is_none_or(|m| !self.view.members.contains_key(m)));
@@ -270,7 +269,7 @@
         }
         for txn in txns {
             // A reserve stays for accepting jobs and recording exits.
-            if self.writes.has(self.now, self.writes.rate / 2.0) {
+            if self.may_write(self.writes.rate / 2.0) {
                 self.txn(txn, Why::Other);
             }
         }
@@ -281,7 +280,7 @@
             return;
         }
         self.types_busy = true;
-        self.cloud.spend(1.0);
+        self.cloud.spend(self.now, 1.0);
         self.types_next = self.now + self.secs(self.set.settings.workers.lease_s);
         let timeout = self.report_s(2.0);
         self.call(Target::Cloud, "GET", CATALOG.into(), None, timeout, Purpose::Catalog);
@@ -289,9 +288,13 @@
 
     fn fleet_tick(&mut self) {
         let now = self.now;
+        if now < self.fleet_next {
+            return;
+        }
+        self.fleet_next = now + self.report_s(0.25);
         if !self.list_busy && now >= self.list_next && self.cloud.has(now, 1.0) {
             self.list_busy = true;
-            self.cloud.spend(1.0);
+            self.cloud.spend(self.now, 1.0);
             self.list_new.clear();
             self.list_page("");
         }
@@ -420,13 +423,12 @@
 
     /// Waiting tasks, and room to spare for classes that must start soon.
     fn demand(&self) -> Vec<Demand<'_>> {
-        let size = self.view.chunk_size;
         let behind = self.aims.behind();
         let boot = self.types.iter().map(|t| t.startup_s).fold(f64::MAX, f64::min);
         let mut out: Vec<Demand> = Vec::new();
         let mut spare: BTreeMap<&str, (&JobSpec, u32)> = BTreeMap::new();
         for j in self.view.jobs.values().filter(|j| !j.withdrawn()) {
-            let mut n = j.waiting(size).len() as u32;
+            let mut n = j.waiting_count();
             // A machine rented now does not save a job that will be late all
             // the same: it makes do with less, unless aims are missed already.
             let age_s = self.wall_ms().saturating_sub(j.rec.rec.at_ms) as f64 / 1000.0;
@@ -464,7 +466,7 @@
         let rentals = wanted_rentals(&self.demand(), self.expected_rooms(), &self.types, &refused, RENT_LIMIT);
         for mut r in rentals {
             // Machines on their way out are the quickest to have.
-            while let Some(name) = self.draining(&r.offer).filter(|_| r.number > 0 && self.writes.has(self.now, 1.0)) {
+            while let Some(name) = self.draining(&r.offer).filter(|_| r.number > 0 && self.may_write(1.0)) {
                 if !self.mark_drain(&name, false) {
                     break;
                 }
@@ -476,7 +478,7 @@
             if !self.cloud.has(self.now, 1.0) {
                 return;
             }
-            self.cloud.spend(1.0);
+            self.cloud.spend(self.now, 1.0);
             self.renting += 1;
             self.charter += 1;
             let charter = format!("fq-{}-{}", self.term(), self.charter);
@@ -530,7 +532,7 @@
         let Some(c) = candidate.filter(|_| whole) else { return };
         let (name, cores) = (c.machine.clone(), c.cores);
         let mut others: Vec<Room> = rooms.iter().map(|(_, r)| r).filter(|r| r.machine != name).cloned().collect();
-        if !fits(&demand, &mut others) || !self.writes.has(now, self.writes.rate / 2.0) {
+        if !fits(&demand, &mut others) || !self.may_write(self.writes.rate / 2.0) {
             return;
         }
         if self.mark_drain(&name, true) {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -89,15 +89,18 @@
         Bucket { rate, level: rate, at: Duration::ZERO }
     }
 
-    fn has(&mut self, now: Instant, n: f64) -> bool {
+    fn level(&self, now: Instant) -> f64 {
         let dt = now.saturating_sub(self.at).as_secs_f64();
-        self.level = (self.level + dt * self.rate).min(self.rate.max(1.0));
-        self.at = now;
-        self.level >= n
+        (self.level + dt * self.rate).min(self.rate.max(1.0))
+    }
+
+    fn has(&self, now: Instant, n: f64) -> bool {
+        self.level(now) >= n
     }
 
-    fn spend(&mut self, n: f64) {
-        self.level -= n;
+    fn spend(&mut self, now: Instant, n: f64) {
+        self.level = self.level(now) - n;
+        self.at = now;
     }
 }
 
@@ -164,6 +167,10 @@
     schedule_next: Instant,
     beat_next: Instant,
     summary_next: Instant,
+    perches_next: Instant,
+    fleet_next: Instant,
+    /// After a refusal by the state service, writes that can wait do.
+    write_after: Instant,
     lead_next: Instant,
     relet_next: Instant,
     epoch: u64,
@@ -228,6 +235,9 @@
             schedule_next: Duration::ZERO,
             beat_next: Duration::ZERO,
             summary_next: Duration::ZERO,
+            perches_next: Duration::ZERO,
+            fleet_next: Duration::ZERO,
+            write_after: Duration::ZERO,
             lead_next: Duration::ZERO,
             relet_next: Duration::ZERO,
             epoch: 0,
@@ -278,8 +288,11 @@
         if !self.ses.following() {
             return;
         }
-        self.perches_tick();
-        self.work_tick();
+        if self.now >= self.perches_next {
+            self.perches_next = self.now + self.report_s(0.1);
+            self.perches_tick();
+            self.work_tick();
+        }
         self.lead_tick();
         if self.now >= self.beat_next {
             self.beat_next = self.now + self.secs(self.set.settings.workers.report_s / 2.0);
@@ -300,7 +313,7 @@
         let sum = |f: fn(&crate::placement::Room) -> f64| rooms.iter().map(|(_, r)| f(r)).sum::<f64>();
         let mut waiting: BTreeMap<&str, u32> = BTreeMap::new();
         for j in self.view.jobs.values() {
-            let n = j.waiting(self.view.chunk_size).len() as u32;
+            let n = j.waiting_count();
             if n > 0 {
                 *waiting.entry(&j.spec.docket).or_default() += n;
             }
@@ -389,11 +402,16 @@
         id
     }
 
+    /// Whether `n` changes may be written now that could also wait.
+    fn may_write(&self, n: f64) -> bool {
+        self.now >= self.write_after && self.writes.has(self.now, n)
+    }
+
     /// Sends a transaction; its keys are left alone until it is answered.
     fn txn(&mut self, txn: Txn, why: Why) {
         let mut keys: Vec<String> = txn.conds.iter().map(|c| c.key.clone()).collect();
         keys.retain(|k| !k.starts_with("fq/h/") && k != records::LEAD_KEY);
-        self.writes.spend(txn.ops.len() as f64);
+        self.writes.spend(self.now, txn.ops.len() as f64);
         self.busy.extend(keys.iter().cloned());
         let body = crate::protocol::encode(&txn);
         let timeout = self.report_s(1.0);
@@ -435,6 +453,9 @@
             self.dirty = true;
         }
         let status = result.as_ref().map_or(0, |r| r.status);
+        if done.is_none() && status != 409 {
+            self.write_after = self.now + self.report_s(0.1);
+        }
         if done.is_none() {
             tracing::debug!(status, ?why, "transaction not carried out");
         }
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -48,6 +48,10 @@
         if !m.outrank() {
             return self.refuse(conn, 503, "the worker listens to somebody else");
         }
+        let quiet = m
+            .heard_at
+            .is_none_or(|t| now.saturating_sub(t) > Duration::from_secs_f64(self.set.settings.workers.report_s));
+        self.dirty |= quiet || m.answered_at.is_none();
         m.heard_at = Some(now);
         self.look(&name);
         let (wanted, kept) = self.wanted(&name);
@@ -56,7 +60,6 @@
         m.answered_at = Some(now);
         let body = encode(&Answer { warrant: m.token(), orders: &orders });
         self.respond(conn, 200, body);
-        self.dirty = true;
     }
 
     fn leader_name(&self) -> Option<String> {
@@ -134,7 +137,8 @@
         let size = self.view.chunk_size;
         let (wanted, kept) = self.wanted(name);
         let Some(m) = self.machines.get_mut(name) else { return };
-        let mut freed = false;
+        // A machine that has just taken our token can take tasks now.
+        let mut freed = m.warrant == m.token() && !std::mem::replace(&mut m.ready, true);
         for s in &m.tasks {
             let (job, index) = (&s.task.job, s.task.index);
             let key = (job.clone(), index);
@@ -307,7 +311,7 @@
     }
 
     pub(super) fn release(&mut self, machines: Vec<String>) {
-        self.cloud.spend(1.0);
+        self.cloud.spend(self.now, 1.0);
         self.releasing.extend(machines.iter().cloned());
         let body = encode(&Release { machines: &machines });
         let timeout = self.report_s(2.0);
@@ -352,7 +356,7 @@
         for name in bare {
             let key = records::host_key(&name);
             let Some(h) = self.view.hosts.get(&name) else { continue };
-            if h.version > self.view.revision || self.busy.contains(&key) || !self.writes.has(self.now, 1.0) {
+            if h.version > self.view.revision || self.busy.contains(&key) || !self.may_write(1.0) {
                 continue;
             }
             let txn = Txn {
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -45,9 +45,16 @@
         if self.fresh() {
             return true;
         }
-        let limit = self.report_s(2.0).as_millis() as u64;
-        let recent = |p: &PeerView| self.now.saturating_sub(p.at) < self.report_s(2.0);
-        !self.peers.values().any(|p| recent(p) && p.beat.stale_ms < limit / 2) && self.entitled()
+        // If another controller's view is much fresher than ours, it is we who
+        // are refused; if none is, an outage hits all and users may as well stay.
+        let ours = self.ses.staleness(self.now).unwrap_or(Duration::MAX);
+        let margin = self.report_s(1.0);
+        let fresher = self.peers.values().any(|p| {
+            let since = self.now.saturating_sub(p.at);
+            let theirs = Duration::from_millis(p.beat.stale_ms).saturating_add(since);
+            since < margin && theirs.saturating_add(margin) < ours
+        });
+        !fresher && self.entitled()
     }
 
     fn submit(&mut self, conn: ConnId, body: &[u8]) {
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -50,7 +50,7 @@
             return;
         };
         let key = records::job_key(uid);
-        if self.busy.contains(&key) || !self.writes.has(self.now, 2.0) {
+        if self.busy.contains(&key) || !self.may_write(2.0) {
             return;
         }
         let size = self.view.chunk_size;
@@ -206,9 +206,8 @@
         let mut waiting: Vec<Waiting> = Vec::new();
         for (uid, job) in &self.view.jobs {
             let mine = |i: u32| job.rec.rec.shares.iter().any(|s| s.member == self.me && (s.from..=s.to).contains(&i));
-            let all = job.waiting(size);
             let patience = self.patience.entry(uid.clone()).or_default();
-            if all.is_empty() {
+            if job.waiting_count() == 0 {
                 patience.waiting_since = None;
                 continue;
             }
@@ -216,6 +215,7 @@
             if patience.not_before > now || self.busy.contains(&records::job_key(uid)) {
                 continue;
             }
+            let all = job.waiting(size);
             let whole = all.len() as u32 == job.spec.parcels;
             if job.spec.form == Form::Ensemble && !whole {
                 continue;
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -49,6 +49,8 @@
     pub idle_since: Option<Instant>,
     pub images: Vec<String>,
     pub releasing: bool,
+    /// It has been seen with our token.
+    pub ready: bool,
 }
 
 impl Machine {
@@ -72,6 +74,7 @@
             idle_since: None,
             images: Vec::new(),
             releasing: false,
+            ready: false,
         }
     }
 
