--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -160,12 +160,10 @@
                 if !heard || m.recall_s.is_some() || m.releasing || m.shut_until > self.now || m.warrant != m.token() {
                     continue;
                 }
-                room.images = m.images.iter().cloned().collect();
                 // What runs there though it should not takes room as well.
-                for s in &m.tasks {
-                    let placed = self.view.placed.get(name);
-                    let known = placed.is_some_and(|p| p.contains_key(&(s.task.job.clone(), s.task.index)));
-                    if !known && s.state != crate::protocol::worker::TaskState::Exited {
+                let placed = self.view.placed.get(name);
+                for s in m.tasks.iter().filter(|s| s.state != crate::protocol::worker::TaskState::Exited) {
+                    if placed.is_none_or(|p| !p.contains_key(&(s.task.job.clone(), s.task.index))) {
                         match self.view.jobs.get(&s.task.job) {
                             Some(j) => room.take(&j.spec, 1),
                             None => room.cores = 0.0,
@@ -173,10 +171,21 @@
                     }
                 }
             }
-            for (job, _) in self.view.placed.get(name).into_iter().flat_map(|p| p.keys()) {
-                if let Some(j) = self.view.jobs.get(job) {
-                    room.take(&j.spec, 1);
-                    room.images.insert(j.spec.bundle.clone());
+            let on = || {
+                self.view
+                    .placed
+                    .get(name)
+                    .into_iter()
+                    .flat_map(|p| p.keys())
+                    .filter_map(|(job, _)| self.view.jobs.get(job))
+            };
+            for j in on() {
+                room.take(&j.spec, 1);
+            }
+            if room.cores > 0.0 {
+                room.images.extend(on().map(|j| j.spec.bundle.clone()));
+                if let Some(m) = self.machines.get(name).filter(|_| mine) {
+                    room.images.extend(m.images.iter().cloned());
                 }
             }
             rooms.push((h.rec.owner.clone(), room));
@@ -203,18 +212,29 @@
         for t in self.set.settings.teams.iter().filter(|t| limited(t)) {
             allowances.insert(&t.name, self.allowance(t));
         }
+        let mut rooms: Vec<Room> = self.rooms(false).into_iter().map(|(_, r)| r).collect();
+        let most = rooms.iter().map(|r| r.cores).fold(0.0, f64::max);
         let mut waiting: Vec<Waiting> = Vec::new();
         for (uid, job) in &self.view.jobs {
-            let mine = |i: u32| job.rec.rec.shares.iter().any(|s| s.member == self.me && (s.from..=s.to).contains(&i));
-            let patience = self.patience.entry(uid.clone()).or_default();
             if job.waiting_count() == 0 {
-                patience.waiting_since = None;
+                if let Some(p) = self.patience.get_mut(uid) {
+                    p.waiting_since = None;
+                }
                 continue;
             }
+            let patience = self.patience.entry(uid.clone()).or_default();
             let since = *patience.waiting_since.get_or_insert(now);
             if patience.not_before > now || self.busy.contains(&records::job_key(uid)) {
                 continue;
             }
+            // Most of the time under load nothing fits anywhere: be quick then.
+            if job.spec.cores > most + 1e-6 && job.spec.form != Form::Ensemble {
+                continue;
+            }
+            let shares = &job.rec.rec.shares;
+            let ranges: Vec<(u32, u32)> =
+                shares.iter().filter(|s| s.member == self.me).map(|s| (s.from, s.to)).collect();
+            let mine = |i: u32| ranges.iter().any(|(from, to)| (*from..=*to).contains(&i));
             let all = job.waiting(size);
             let whole = all.len() as u32 == job.spec.parcels;
             if job.spec.form == Form::Ensemble && !whole {
@@ -257,7 +277,6 @@
         if waiting.is_empty() {
             return Vec::new();
         }
-        let mut rooms: Vec<Room> = self.rooms(false).into_iter().map(|(_, r)| r).collect();
         // Spot machines first, so that ordinary ones stay free for tasks that
         // need them; then the fullest, so that others stay empty.
         rooms.sort_by(|a, b| {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -50,7 +50,7 @@
 
     /// How many tasks of the job there is room for.
     pub fn fits(&self, spec: &JobSpec) -> u32 {
-        if !self.allowed(spec) {
+        if self.cores + SLACK < spec.cores || !self.allowed(spec) {
             return 0;
         }
         let times = |free: f64, need: f64| {
@@ -142,6 +142,7 @@
     waiting.sort_by(|a, b| {
         (b.spec.urgency, b.waited_s).partial_cmp(&(a.spec.urgency, a.waited_s)).unwrap_or(std::cmp::Ordering::Equal)
     });
+    let least = waiting.iter().map(|w| w.spec.cores).fold(f64::INFINITY, f64::min);
     let mut reserved = BTreeSet::new();
     for level in [Urgency::Production, Urgency::Urgent, Urgency::Standard, Urgency::Idle] {
         let mut jobs: Vec<&mut Waiting> = waiting.iter_mut().filter(|w| w.spec.urgency == level).collect();
@@ -169,7 +170,7 @@
         // that hold the image.
         for tier in [false, true].into_iter().flat_map(|late| PASSES.map(|p| (late, p))) {
             for room in rooms.iter_mut() {
-                if !reserved.contains(&room.machine) {
+                if room.cores + SLACK >= least && !reserved.contains(&room.machine) {
                     fill(room, &mut jobs, tier, rules, sack, &mut starts);
                 }
             }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -280,6 +280,10 @@
                         ended = true;
                         break;
                     }
+                    // A short read has emptied the socket; more brings a new event.
+                    if n < chunk.len() {
+                        break;
+                    }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
