--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -87,31 +87,24 @@
         self.call(Target::State, "POST", store::TXN.into(), Some(body), timeout, Purpose::Txn { txn, why, keys });
     }
 
-    /// A machine that reports and is not known: it joins the lightest block.
+    /// A machine that reports and is not known joins the block of whoever it
+    /// reports to, under the leader's term and epoch 0, below any later grant:
+    /// no earlier owner can exist. The leader levels the blocks afterwards.
     pub(super) fn enrol(&mut self, report: &Report) {
         let key = records::host_key(&report.machine);
-        if self.busy.contains(&key) || self.gone.contains(&report.machine) || !self.may_write(1.0) {
+        let led = self.leader_name().is_some() && self.view.is_live(&self.me, self.incarnation);
+        if !led || self.busy.contains(&key) || self.gone.contains(&report.machine) || !self.may_write(1.0) {
             return;
         }
-        let mut load = BTreeMap::new();
-        let mut total: BTreeMap<&str, i64> = self.view.members.keys().map(|m| (m.as_str(), 0)).collect();
-        for h in self.view.hosts.values().filter(|h| self.view.owned(&h.rec)) {
-            *load.entry((h.rec.build.as_str(), h.rec.owner.as_str())).or_default() += 1;
-            *total.entry(&h.rec.owner).or_default() += 1;
-        }
-        // Enrolments under way are not in the view yet; spread them by name.
-        let Some(owner) = blocks::lightest(&load, &total, &report.build).map(str::to_string) else { return };
-        let Some(incarnation) = self.view.members.get(&owner).map(|m| m.rec.incarnation) else { return };
-        self.epoch += 1;
         let rec = HostRec {
             addr: report.addr.clone(),
             build: report.build.clone(),
             site: report.site.clone(),
             spot: report.spot,
-            owner,
-            incarnation,
+            owner: self.me.clone(),
+            incarnation: self.incarnation,
             term: self.term(),
-            epoch: self.epoch,
+            epoch: 0,
             drain: false,
         };
         let txn = Txn {
@@ -128,10 +121,12 @@
     fn grant_blocks(&mut self) {
         let limit = self.set.settings.state.txn_ops.min(self.writes.rate as usize).max(1);
         let deaf = self.deaf_machines();
-        let moves = wanted_moves(&self.view, &deaf, limit);
+        let level = self.now >= self.level_next;
+        let moves = wanted_moves(&self.view, &deaf, level, limit);
         if moves.is_empty() || !self.may_write(moves.len() as f64) {
             return;
         }
+        self.level_next = self.now + self.report_s(1.0);
         let mut txn = Txn { conds: vec![self.lead_cond()], ops: Vec::new() };
         for m in moves {
             let key = records::host_key(&m.machine);
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -16,11 +16,8 @@
         }
         let leader = self.leader_name();
         let Some(host) = self.view.hosts.get(&report.machine) else {
-            if leader.as_deref() == Some(self.me.as_str()) {
-                self.enrol(&report);
-                return self.hold(conn, report, until);
-            }
-            return self.redirect(conn, leader.as_deref());
+            self.enrol(&report);
+            return self.hold(conn, report, until);
         };
         if !self.owns(host) {
             if self.view.owned(&host.rec) {
@@ -62,7 +59,7 @@
         self.respond(conn, 200, body);
     }
 
-    fn leader_name(&self) -> Option<String> {
+    pub(super) fn leader_name(&self) -> Option<String> {
         let lead = self.view.lead.as_ref()?;
         self.view.is_live(&lead.rec.member, lead.rec.incarnation).then(|| lead.rec.member.clone())
     }
@@ -127,7 +124,10 @@
         let kept = self.view.placed.get(name).cloned().unwrap_or_default();
         let live = |job: &str| self.view.jobs.get(job).is_some_and(|j| !j.withdrawn());
         let mut wanted = kept.clone();
-        wanted.retain(|(job, _), _| live(job));
+        let preempted = self.machines.get(name).map(|m| &m.preempted);
+        wanted.retain(|(job, index), attempt| {
+            live(job) && preempted.is_none_or(|p| !p.contains(&(job.clone(), *index, *attempt)))
+        });
         (wanted, kept)
     }
 
@@ -143,6 +143,9 @@
             let (job, index) = (&s.task.job, s.task.index);
             let key = (job.clone(), index);
             let Some(j) = self.view.jobs.get(job) else { continue };
+            if s.state == TaskState::Running {
+                m.since.entry((job.clone(), index, s.attempt)).or_insert(now);
+            }
             if s.state == TaskState::Running && m.images.last() != Some(&j.spec.bundle) {
                 m.images.retain(|i| *i != j.spec.bundle);
                 m.images.push(j.spec.bundle.clone());
@@ -172,6 +175,9 @@
                 tracing::debug!(machine = %name, task = %s.task, cause = ?s.cause, "task ended without a result");
             }
         }
+        let there = |k: &(String, u32, u64)| kept.get(&(k.0.clone(), k.1)) == Some(&k.2);
+        m.since.retain(|k, _| there(k));
+        m.preempted.retain(there);
         if m.confirmed() {
             for ((job, index), attempt) in &kept {
                 let unwanted = !wanted.contains_key(&(job.clone(), *index));
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -5,7 +5,7 @@
 use crate::bookkeeping::Job;
 use crate::bookkeeping::records::{ChunkRec, Place, Share, add_to_ranges, count_ranges, in_ranges};
 use crate::coordination::blocks;
-use crate::placement::{Room, Rules, Start, Waiting, plan};
+use crate::placement::{Room, Rules, Start, Victim, Waiting, plan, preempt};
 use crate::protocol::store::{Cond, Op};
 use crate::protocol::user::{Form, JobSpec, Status};
 use crate::settings::Team;
@@ -32,6 +32,9 @@
         }
         self.adopt();
         let starts = if self.fresh() { self.plan_starts() } else { Vec::new() };
+        if self.fresh() {
+            self.make_room(&starts);
+        }
         let mut by_job: BTreeMap<String, Vec<Start>> = BTreeMap::new();
         for s in starts {
             by_job.entry(s.uid.clone()).or_default().push(s);
@@ -85,6 +88,7 @@
             if in_ranges(&rec.done, s.index) {
                 continue;
             }
+            tracing::debug!(job = %uid, index = s.index, machine = %s.machine, attempt, "start");
             rec.on.push(Place { index: s.index, machine: s.machine.clone(), attempt });
             rec.tries = attempt;
             machines.insert(s.machine.clone());
@@ -272,7 +276,17 @@
             let left = f64::from(job.spec.parcels - job.done);
             let work = left * job.spec.cores * job.spec.expected_s;
             let start_within_s = self.aims.start_within(&job.spec);
-            waiting.push(Waiting { spec: &job.spec, tasks, waited_s, zones, slack_s, work, start_within_s, aim_s });
+            waiting.push(Waiting {
+                spec: &job.spec,
+                tasks,
+                waited_s,
+                zones,
+                slack_s,
+                work,
+                start_within_s,
+                hopeless: false,
+                aim_s,
+            });
         }
         if waiting.is_empty() {
             return Vec::new();
@@ -288,6 +302,97 @@
         plan(&mut rooms, &mut waiting, &rules, &mut self.sack)
     }
 
+    /// Stops less urgent tasks for those that found no room and must start soon.
+    fn make_room(&mut self, starts: &[Start]) {
+        let now = self.now;
+        let mut pressed: Vec<(&str, u32)> = Vec::new();
+        for (uid, job) in &self.view.jobs {
+            if job.waiting_count() == 0
+                || self.aims.start_within(&job.spec).is_none()
+                || job.spec.form == Form::Ensemble
+            {
+                continue;
+            }
+            let shares = job.rec.rec.shares.iter().filter(|s| s.member == self.me);
+            let mine = shares
+                .map(|s| (s.from..=s.to).filter(|i| job.place(*i, self.view.chunk_size).is_none()).count() as u32)
+                .sum::<u32>();
+            let found = starts.iter().filter(|s| s.uid == *uid).count() as u32;
+            // One that was written down a moment ago may not be in the view.
+            let known = self.patience.get(uid).is_some_and(|p| p.waiting_since.is_some() && p.not_before <= now);
+            if mine > found && known && !self.busy.contains(&records::job_key(uid)) {
+                pressed.push((uid, mine - found));
+            }
+        }
+        if pressed.is_empty() {
+            return;
+        }
+        let mut rooms = Vec::new();
+        for (_, mut room) in self.rooms(false) {
+            let name = room.machine.clone();
+            for s in starts.iter().filter(|s| s.machine == name) {
+                if let Some(j) = self.view.jobs.get(&s.uid) {
+                    room.take(&j.spec, 1);
+                }
+            }
+            let Some(m) = self.machines.get(&room.machine) else { continue };
+            // Room that is being made already counts as free, once.
+            let mut victims = Vec::new();
+            for ((uid, index), attempt) in self.view.placed.get(&room.machine).into_iter().flatten() {
+                let Some(j) = self.view.jobs.get(uid) else { continue };
+                let key = (uid.clone(), *index, *attempt);
+                if m.preempted.contains(&key) {
+                    room.cores += j.spec.cores;
+                    room.gpus += j.spec.gpus;
+                    room.mem_gb += j.spec.mem_gb;
+                } else if j.spec.form == Form::Batch && !j.withdrawn() {
+                    let ran = m.since.get(&key).map_or(0.0, |t| now.saturating_sub(*t).as_secs_f64());
+                    victims.push(Victim {
+                        uid: uid.clone(),
+                        index: *index,
+                        attempt: *attempt,
+                        spec: &j.spec,
+                        cost: ran * j.spec.cores,
+                    });
+                }
+            }
+            rooms.push((room, victims));
+        }
+        let mut stops: Vec<(String, (String, u32, u64))> = Vec::new();
+        for (uid, n) in pressed {
+            let Some(job) = self.view.jobs.get(uid) else { continue };
+            let within = self.aims.start_within(&job.spec).unwrap_or(f64::INFINITY);
+            for _ in 0..n {
+                if let Some((room, _)) =
+                    rooms.iter_mut().find(|(r, _)| r.fits(&job.spec) > 0 && r.starts_within(&job.spec, within))
+                {
+                    room.take(&job.spec, 1);
+                    continue;
+                }
+                let Some((at, chosen)) = preempt(&job.spec, within, &rooms) else { break };
+                let (room, victims) = &mut rooms[at];
+                for v in chosen {
+                    tracing::debug!(job = %v.uid, index = v.index, machine = %room.machine, for_job = %uid, "preempt");
+                    room.cores += v.spec.cores;
+                    room.gpus += v.spec.gpus;
+                    room.mem_gb += v.spec.mem_gb;
+                    victims.retain(|w| (&w.uid, w.index) != (&v.uid, v.index));
+                    stops.push((room.machine.clone(), (v.uid, v.index, v.attempt)));
+                }
+                room.take(&job.spec, 1);
+            }
+        }
+        let machines: BTreeSet<String> = stops.iter().map(|s| s.0.clone()).collect();
+        for (machine, key) in stops {
+            if let Some(m) = self.machines.get_mut(&machine) {
+                m.preempted.insert(key);
+            }
+        }
+        for m in machines {
+            self.push(&m);
+        }
+    }
+
     pub(super) fn shares_for(&self, spec: &JobSpec, waits: &[u32]) -> Vec<Share> {
         let members: Vec<String> = self.view.members.keys().cloned().collect();
         let whole = spec.form == Form::Ensemble || spec.together || spec.apart;
--- a/src/coordination/blocks.rs
+++ b/src/coordination/blocks.rs
@@ -16,7 +16,7 @@
 
 /// Moves that give every machine a live owner and level the blocks, by type.
 /// `deaf` are machines that do not reach their owner, but do reach `.1`.
-pub fn wanted_moves(view: &View, deaf: &[(String, String)], limit: usize) -> Vec<Move> {
+pub fn wanted_moves(view: &View, deaf: &[(String, String)], may_level: bool, limit: usize) -> Vec<Move> {
     if view.members.is_empty() {
         return Vec::new();
     }
@@ -39,18 +39,14 @@
             moves.push(Move { machine: machine.clone(), to: to.clone() });
         }
     }
-    if moves.is_empty() {
+    if moves.is_empty() && may_level {
         moves.extend(level(view, &load, &total));
     }
     moves.truncate(limit);
     moves
 }
 
-pub fn lightest<'a>(
-    load: &BTreeMap<(&str, &str), i64>,
-    total: &BTreeMap<&'a str, i64>,
-    build: &str,
-) -> Option<&'a str> {
+fn lightest<'a>(load: &BTreeMap<(&str, &str), i64>, total: &BTreeMap<&'a str, i64>, build: &str) -> Option<&'a str> {
     total.iter().min_by_key(|(m, n)| (load.get(&(build, **m)).copied().unwrap_or(0), **n)).map(|(m, _)| *m)
 }
 
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -9,7 +9,7 @@
 use crate::bookkeeping::Placements;
 use crate::effects::{CallId, Instant};
 use crate::protocol::worker::{Cause, Order, Report, TaskId, TaskState};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Most orders in one message, which keeps it below the body limit.
@@ -49,6 +49,10 @@
     pub idle_since: Option<Instant>,
     pub images: Vec<String>,
     pub releasing: bool,
+    /// When each task was first seen to run.
+    pub since: BTreeMap<(String, u32, u64), Instant>,
+    /// Tasks that are stopped to make room for more urgent ones.
+    pub preempted: BTreeSet<(String, u32, u64)>,
     /// It has been seen with our token.
     pub ready: bool,
 }
@@ -74,6 +78,8 @@
             idle_since: None,
             images: Vec::new(),
             releasing: false,
+            since: BTreeMap::new(),
+            preempted: BTreeSet::new(),
             ready: false,
         }
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -60,6 +60,11 @@
         n.min(f64::from(spec.parcels)) as u32
     }
 
+    /// Whether the image is on the machine, or comes within that time.
+    pub fn starts_within(&self, spec: &JobSpec, seconds: f64) -> bool {
+        self.images.contains(&spec.bundle) || spec.size_gb <= self.pull_gb_per_s * seconds * FETCH_MARGIN
+    }
+
     pub fn take(&mut self, spec: &JobSpec, n: u32) {
         self.cores -= spec.cores * f64::from(n);
         self.gpus -= spec.gpus * f64::from(n);
@@ -92,6 +97,8 @@
     pub work: f64,
     /// The aim asks for a start this soon after the submission.
     pub start_within_s: Option<f64>,
+    /// No machine of the block would start it soon enough.
+    pub hopeless: bool,
     /// The aim asks for the end this soon after the submission.
     pub aim_s: Option<f64>,
 }
@@ -101,10 +108,8 @@
         self.slack_s < 0.0
     }
 
-    /// Whether the image is on the machine, or comes soon enough for the aim.
     fn starts_soon(&self, room: &Room) -> bool {
-        let Some(within) = self.start_within_s else { return true };
-        room.images.contains(&self.spec.bundle) || self.spec.size_gb <= room.pull_gb_per_s * within * FETCH_MARGIN
+        self.start_within_s.is_none_or(|s| room.starts_within(self.spec, s))
     }
 
     /// How many more tasks the job may have in this zone.
@@ -142,6 +147,9 @@
     waiting.sort_by(|a, b| {
         (b.spec.urgency, b.waited_s).partial_cmp(&(a.spec.urgency, a.waited_s)).unwrap_or(std::cmp::Ordering::Equal)
     });
+    for w in waiting.iter_mut() {
+        w.hopeless = !rooms.iter().any(|r| r.allowed(w.spec) && w.starts_soon(r));
+    }
     let least = waiting.iter().map(|w| w.spec.cores).fold(f64::INFINITY, f64::min);
     let mut reserved = BTreeSet::new();
     for level in [Urgency::Production, Urgency::Urgent, Urgency::Standard, Urgency::Idle] {
@@ -227,7 +235,7 @@
         let goes = match pass {
             Pass::Local => room.images.contains(&w.spec.bundle),
             Pass::Soon => w.starts_soon(room),
-            Pass::Any => w.start_within_s.is_none_or(|s| w.waited_s > s),
+            Pass::Any => w.hopeless || w.start_within_s.is_none_or(|s| w.waited_s > s),
         };
         if w.spec.form == Form::Ensemble || count == 0 || w.late() != late || !goes {
             continue;
@@ -261,6 +269,53 @@
     }
 }
 
+/// A task that could be stopped for a more urgent one.
+#[derive(Debug, Clone)]
+pub struct Victim<'a> {
+    pub uid: String,
+    pub index: u32,
+    pub attempt: u64,
+    pub spec: &'a JobSpec,
+    /// Work that is lost with it, in CPU seconds.
+    pub cost: f64,
+}
+
+/// Which tasks to stop so that `spec` fits on a machine where it starts soon:
+/// the set that loses least work. The rules allow it for higher urgency only.
+pub fn preempt<'a>(
+    spec: &JobSpec,
+    within_s: f64,
+    rooms: &[(Room, Vec<Victim<'a>>)],
+) -> Option<(usize, Vec<Victim<'a>>)> {
+    let mut best: Option<(f64, usize, Vec<Victim>)> = None;
+    for (at, (room, victims)) in rooms.iter().enumerate() {
+        let local = room.images.contains(&spec.bundle);
+        if !room.allowed(spec) || !room.starts_within(spec, within_s) {
+            continue;
+        }
+        let mut able: Vec<&Victim> = victims.iter().filter(|v| v.spec.urgency < spec.urgency).collect();
+        able.sort_by(|a, b| a.spec.urgency.cmp(&b.spec.urgency).then(a.cost.total_cmp(&b.cost)));
+        let mut room = room.clone();
+        let mut chosen: Vec<Victim> = Vec::new();
+        for v in able {
+            if room.fits(spec) > 0 {
+                break;
+            }
+            room.cores += v.spec.cores;
+            room.gpus += v.spec.gpus;
+            room.mem_gb += v.spec.mem_gb;
+            chosen.push(v.clone());
+        }
+        // An image on the machine is worth the work lost while it would be fetched.
+        let fetch = if local { 0.0 } else { spec.size_gb / room.pull_gb_per_s };
+        let cost = chosen.iter().map(|v| v.cost).sum::<f64>() + fetch * spec.cores;
+        if room.fits(spec) > 0 && !chosen.is_empty() && best.as_ref().is_none_or(|b| cost < b.0) {
+            best = Some((cost, at, chosen));
+        }
+    }
+    best.map(|(_, at, chosen)| (at, chosen))
+}
+
 /// All tasks of an ensemble, or none.
 fn gang(rooms: &mut [Room], w: &mut Waiting, reserved: &BTreeSet<String>, starts: &mut Vec<Start>) {
     let mut sites: Vec<Option<String>> = vec![None];
