--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -7,6 +7,9 @@
 use crate::protocol::encode;
 use crate::protocol::worker::{Answer, Cause, Push, Redirect, TaskState};
 
+/// A worker waits this long for an answer, then a little to try the next node.
+const WORKER_MOVES_S: f64 = 4.0 + 1.0 + 0.5;
+
 impl Controller {
     /// A report; `until` is set when it waited for a grant already.
     pub(super) fn report(&mut self, conn: ConnId, report: Report, until: Option<Instant>) {
@@ -267,6 +270,8 @@
         let now = self.now;
         let w = &self.set.settings.workers;
         let limit = self.report_s(self.set.operator.silent_reports);
+        // After a grant the worker may still be waiting for its old controller.
+        let first = limit + self.secs(WORKER_MOVES_S);
         let block = self.machines.len() as f64;
         let cap = (block / 4.0).max(1.0);
         let dt = now.saturating_sub(self.release_at).as_secs_f64();
@@ -276,7 +281,8 @@
         let mut silent = Vec::new();
         let mut heard = 0;
         for (name, m) in &self.machines {
-            let last = m.heard_at.unwrap_or(m.owned_since).max(m.owned_since);
+            let last = m.heard_at.unwrap_or(m.owned_since);
+            let limit = if m.heard_at.is_some() { limit } else { first };
             if m.heard_at.is_some_and(|t| now.saturating_sub(t) < recent) {
                 heard += 1;
             }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -142,7 +142,7 @@
             step_mb: 256.0,
             idle_boots: 1.0,
             late_boots: 3.0,
-            silent_reports: 4.0,
+            silent_reports: 2.5,
             spare_share: 0.15,
         }
     }
