--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -17,8 +17,10 @@
 
 /// A job that will be late gets machines for one in this many of its tasks.
 const LATE_SHARE: u32 = 4;
+/// Tasks that waited this many boot times ago still count as pressure.
+const PRESSED_BOOTS: f64 = 4.0;
 /// Idle machines are kept this many times longer while aims are missed.
-const BEHIND_KEEPS: f64 = 10.0;
+const BEHIND_KEEPS: f64 = 20.0;
 
 impl Controller {
     pub(super) fn lead_tick(&mut self) {
@@ -495,9 +497,14 @@
     fn return_idle(&mut self) {
         let now = self.now;
         let rooms = self.rooms(true);
-        let busy = self.view.jobs.values().any(|j| j.spec.form != Form::Standing);
-        let patience = self.set.operator.idle_boots * if busy && self.aims.behind() { BEHIND_KEEPS } else { 1.0 };
         let boot = self.types.iter().map(|t| t.startup_s).fold(0.0, f64::max);
+        let waits = self.view.jobs.values().any(|j| j.waiting_count() > 0 && j.spec.form != Form::Standing);
+        if waits {
+            self.pressed_at = Some(now);
+        }
+        // Missed aims are a reason to keep machines only where tasks waited of late.
+        let pressed = self.pressed_at.is_some_and(|t| now.saturating_sub(t) < self.secs(boot * PRESSED_BOOTS));
+        let patience = self.set.operator.idle_boots * if pressed && self.aims.behind() { BEHIND_KEEPS } else { 1.0 };
         let free: f64 = rooms.iter().map(|(_, r)| r.cores.max(0.0)).sum();
         self.slack.push_back((now, free));
         let window = self.secs(boot * patience);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -186,6 +186,8 @@
     refused: BTreeMap<crate::fleet::Offer, Instant>,
     /// Free cores of late, for the least that stayed free.
     slack: VecDeque<(Instant, f64)>,
+    /// Array tasks waited at this time.
+    pressed_at: Option<Instant>,
     /// Releases that got no answer yet, and those that did: nothing is left there.
     releasing: BTreeSet<String>,
     gone: BTreeSet<String>,
@@ -253,6 +255,7 @@
             renting: 0,
             refused: BTreeMap::new(),
             slack: VecDeque::new(),
+            pressed_at: None,
             releasing: BTreeSet::new(),
             gone: BTreeSet::new(),
             release_tokens: 1.0,
