--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -435,7 +435,7 @@
                 n = n.div_ceil(LATE_SHARE);
             }
             if n > 0 {
-                out.push(Demand { spec: &j.spec, tasks: n });
+                out.push(Demand { spec: &j.spec, tasks: n, thrifty: !behind });
             }
             if soon(&j.spec) {
                 let e = spare.entry(&j.spec.docket).or_insert((&j.spec, 0));
@@ -458,7 +458,7 @@
         for (class, (spec, n)) in spare {
             let share = (f64::from(n) * self.set.operator.spare_share).ceil() as u32 + 1;
             let tasks = share.max(together.get(class).copied().unwrap_or(0));
-            out.push(Demand { spec, tasks });
+            out.push(Demand { spec, tasks, thrifty: false });
         }
         out
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,6 +10,8 @@
 pub struct Demand<'a> {
     pub spec: &'a JobSpec,
     pub tasks: u32,
+    /// Rather wait than pay for ordinary machines where spot ones would do.
+    pub thrifty: bool,
 }
 
 /// A type, zone and kind of machine.
@@ -59,7 +61,7 @@
     for d in demand {
         let mut left = absorb(d, &mut rooms);
         while left > 0 && budget > 0 {
-            let Some((offer, t, each)) = cheapest(d.spec, left, types, refused) else {
+            let Some((offer, t, each)) = cheapest(d, left, types, refused) else {
                 break;
             };
             let number = left.div_ceil(each).min(budget);
@@ -82,7 +84,7 @@
 
 /// The offer with the lowest price for the tasks it would really hold.
 fn cheapest<'a>(
-    spec: &JobSpec,
+    d: &Demand,
     left: u32,
     types: &'a [MachineType],
     refused: &BTreeSet<Offer>,
@@ -92,7 +94,10 @@
         for site in &t.sites {
             for spot in [true, false] {
                 let offer = Offer { build: t.label.clone(), site: site.clone(), spot };
-                let each = Room::empty("", t, site, spot).fits(spec);
+                let each = Room::empty("", t, site, spot).fits(d.spec);
+                if d.thrifty && d.spec.loaners && !spot {
+                    continue;
+                }
                 if each == 0 || refused.contains(&offer) {
                     continue;
                 }
