--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -345,8 +345,14 @@
                 }
                 self.list = std::mem::take(&mut self.list_new);
                 self.list_at = Some(self.now);
-                let list = &self.list;
-                self.rented.retain(|name, _| !list.contains_key(name));
+                // A later list may be an older one, so what was rented stays on
+                // our own books until it reports or is given up.
+                let (hosts, types, now) = (&self.view.hosts, &self.types, self.now);
+                let late = self.set.operator.late_boots;
+                self.rented.retain(|name, r| {
+                    let boot = types.iter().find(|t| t.label == r.offer.build).map_or(0.0, |t| t.startup_s);
+                    !hosts.contains_key(name) && now.saturating_sub(r.at).as_secs_f64() < boot * late
+                });
             }
             Purpose::Rent { offer } => {
                 self.renting = self.renting.saturating_sub(1);
@@ -415,6 +421,8 @@
                 rooms.push(Room::empty(name, t, &r.offer.site, r.offer.spot));
             }
         }
+        // What may use spot machines counts on those first.
+        rooms.sort_by_key(|r| !r.spot);
         rooms
     }
 
@@ -454,12 +462,13 @@
                 *most = n.max(*most);
             }
         }
-        out.sort_by_key(|d| std::cmp::Reverse(d.spec.urgency));
         for (class, (spec, n)) in spare {
             let share = (f64::from(n) * self.set.operator.spare_share).ceil() as u32 + 1;
             let tasks = share.max(together.get(class).copied().unwrap_or(0));
             out.push(Demand { spec, tasks, thrifty: false });
         }
+        // Arrays come last: they must not take the room that is spared.
+        out.sort_by_key(|d| std::cmp::Reverse(d.spec.urgency));
         out
     }
 
