--- a/src/bookkeeping/aims.rs
+++ b/src/bookkeeping/aims.rs
@@ -5,7 +5,7 @@
 
 /// Misses that the running share remembers when an aim is just kept: a share
 /// of 0.9 is told from one of 0.95 only over some twenty ends.
-const MISSES: f64 = 2.0;
+const MISSES: f64 = 4.0;
 
 #[derive(Debug)]
 pub struct Aims {
@@ -16,7 +16,7 @@
 
 impl Aims {
     pub fn new(list: Vec<Objective>) -> Aims {
-        let met = list.iter().map(|o| (1.0 + o.share.unwrap_or(0.0)) / 2.0).collect();
+        let met = vec![1.0; list.len()];
         Aims { list, met }
     }
 
@@ -80,11 +80,11 @@
         let spec = crate::protocol::user::tests::spec("run-1");
         assert_eq!(aims.end_within(&spec), Some(10.0));
         assert!(!aims.behind());
-        for _ in 0..3 {
+        for _ in 0..6 {
             aims.note_end(&spec, 11.0);
         }
         assert!(aims.behind());
-        for _ in 0..9 {
+        for _ in 0..20 {
             aims.note_end(&spec, 9.0);
         }
         assert!(!aims.behind());
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -15,6 +15,11 @@
 use crate::protocol::{decode, encode};
 use records::{HostRec, JobRec, LeadRec, TermRec};
 
+/// Arrays make room for services that must start soon.
+fn not_preemptible(spec: &JobSpec) -> bool {
+    spec.form != Form::Batch
+}
+
 /// A job that will be late gets machines for one in this many of its tasks.
 const LATE_SHARE: u32 = 4;
 /// Tasks that waited this many boot times ago still count as pressure.
@@ -401,8 +406,8 @@
     }
 
     /// Free room that is there or on its way.
-    pub(super) fn expected_rooms(&self) -> Vec<Room> {
-        let mut rooms: Vec<Room> = self.rooms(true).into_iter().map(|(_, r)| r).collect();
+    pub(super) fn expected_rooms(&self, counts: impl Fn(&JobSpec) -> bool) -> Vec<Room> {
+        let mut rooms: Vec<Room> = self.rooms_beside(true, counts).into_iter().map(|(_, r)| r).collect();
         let coming = |name: &str| !self.view.hosts.contains_key(name) && !self.gone.contains(name);
         for (name, l) in &self.list {
             if matches!(l.phase, Phase::Booting | Phase::Running)
@@ -426,11 +431,13 @@
         rooms
     }
 
-    /// Waiting tasks, and room to spare for classes that must start soon.
-    fn demand(&self) -> Vec<Demand<'_>> {
+    /// Waiting tasks: first those of services that must start soon, with room
+    /// to spare for them, then all others. The first may count on room that
+    /// arrays use, since those can be preempted.
+    fn demand(&self) -> (Vec<Demand<'_>>, Vec<Demand<'_>>) {
         let behind = self.aims.behind();
         let boot = self.types.iter().map(|t| t.startup_s).fold(f64::MAX, f64::min);
-        let mut out: Vec<Demand> = Vec::new();
+        let (mut services, mut arrays) = (Vec::new(), Vec::new());
         let mut spare: BTreeMap<&str, (&JobSpec, u32)> = BTreeMap::new();
         let soon = |spec: &JobSpec| spec.form == Form::Standing && self.aims.start_within(spec).is_some();
         for j in self.view.jobs.values().filter(|j| !j.withdrawn()) {
@@ -443,7 +450,8 @@
                 n = n.div_ceil(LATE_SHARE);
             }
             if n > 0 {
-                out.push(Demand { spec: &j.spec, tasks: n, thrifty: !behind });
+                let d = Demand { spec: &j.spec, tasks: n, thrifty: !behind };
+                if soon(&j.spec) { services.push(d) } else { arrays.push(d) }
             }
             if soon(&j.spec) {
                 let e = spare.entry(&j.spec.docket).or_insert((&j.spec, 0));
@@ -465,11 +473,10 @@
         for (class, (spec, n)) in spare {
             let share = (f64::from(n) * self.set.operator.spare_share).ceil() as u32 + 1;
             let tasks = share.max(together.get(class).copied().unwrap_or(0));
-            out.push(Demand { spec, tasks, thrifty: false });
+            services.push(Demand { spec, tasks, thrifty: false });
         }
-        // Arrays come last: they must not take the room that is spared.
-        out.sort_by_key(|d| std::cmp::Reverse(d.spec.urgency));
-        out
+        arrays.sort_by_key(|d| std::cmp::Reverse(d.spec.urgency));
+        (services, arrays)
     }
 
     fn rent(&mut self) {
@@ -477,7 +484,12 @@
             return;
         }
         let refused: BTreeSet<Offer> = self.refused.keys().cloned().collect();
-        let rentals = wanted_rentals(&self.demand(), self.expected_rooms(), &self.types, &refused, RENT_LIMIT);
+        let (services, arrays) = self.demand();
+        let mut rentals =
+            wanted_rentals(&services, self.expected_rooms(not_preemptible), &self.types, &refused, RENT_LIMIT);
+        if rentals.is_empty() {
+            rentals = wanted_rentals(&arrays, self.expected_rooms(|_| true), &self.types, &refused, RENT_LIMIT);
+        }
         for mut r in rentals {
             // Machines on their way out are the quickest to have.
             while let Some(name) = self.draining(&r.offer).filter(|_| r.number > 0 && self.may_write(1.0)) {
@@ -532,7 +544,7 @@
             whole = true;
         }
         let least = self.slack.iter().map(|s| s.1).fold(f64::INFINITY, f64::min);
-        let demand = self.demand();
+        let (services, arrays) = self.demand();
         let standing = |name: &str| {
             let on = self.view.placed.get(name).into_iter().flat_map(|p| p.keys());
             on.filter(|(job, _)| self.view.jobs.get(job).is_some_and(|j| j.spec.form == Form::Standing)).count()
@@ -551,7 +563,9 @@
         let Some(c) = candidate.filter(|_| whole) else { return };
         let (name, cores) = (c.machine.clone(), c.cores);
         let mut others: Vec<Room> = rooms.iter().map(|(_, r)| r).filter(|r| r.machine != name).cloned().collect();
-        if !fits(&demand, &mut others) || !self.may_write(self.writes.rate / 2.0) {
+        let beside = self.rooms_beside(true, not_preemptible);
+        let mut beside: Vec<Room> = beside.into_iter().map(|(_, r)| r).filter(|r| r.machine != name).collect();
+        if !fits(&services, &mut beside) || !fits(&arrays, &mut others) || !self.may_write(self.writes.rate / 2.0) {
             return;
         }
         if self.mark_drain(&name, true) {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -323,7 +323,7 @@
                 *waiting.entry(&j.spec.docket).or_default() += n;
             }
         }
-        let booting = self.expected_rooms().len() - rooms.len();
+        let booting = self.expected_rooms(|_| true).len() - rooms.len();
         tracing::debug!(
             jobs = self.view.jobs.len(),
             ?waiting,
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -149,6 +149,11 @@
 
     /// Rooms on this controller's machines, or on everyone's with their owners.
     pub(super) fn rooms(&self, everyone: bool) -> Vec<(String, Room)> {
+        self.rooms_beside(everyone, |_| true)
+    }
+
+    /// The same, counting only the tasks of jobs that `counts` holds for.
+    pub(super) fn rooms_beside(&self, everyone: bool, counts: impl Fn(&JobSpec) -> bool) -> Vec<(String, Room)> {
         let silent = self.report_s(2.5);
         let mut rooms = Vec::new();
         for (name, h) in &self.view.hosts {
@@ -183,7 +188,7 @@
                     .flat_map(|p| p.keys())
                     .filter_map(|(job, _)| self.view.jobs.get(job))
             };
-            for j in on() {
+            for j in on().filter(|j| counts(&j.spec)) {
                 room.take(&j.spec, 1);
             }
             if room.cores > 0.0 {
