--- a/src/bookkeeping/aims.rs
+++ b/src/bookkeeping/aims.rs
@@ -5,7 +5,7 @@
 
 /// Misses that the running share remembers when an aim is just kept: a share
 /// of 0.9 is told from one of 0.95 only over some twenty ends.
-const MISSES: f64 = 4.0;
+const MISSES: f64 = 2.0;
 
 #[derive(Debug)]
 pub struct Aims {
@@ -80,11 +80,11 @@
         let spec = crate::protocol::user::tests::spec("run-1");
         assert_eq!(aims.end_within(&spec), Some(10.0));
         assert!(!aims.behind());
-        for _ in 0..6 {
+        for _ in 0..3 {
             aims.note_end(&spec, 11.0);
         }
         assert!(aims.behind());
-        for _ in 0..20 {
+        for _ in 0..9 {
             aims.note_end(&spec, 9.0);
         }
         assert!(!aims.behind());
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -163,6 +163,8 @@
     aims: Aims,
     /// When the first machine was seen, by the time of day.
     fleet_since_ms: Option<u64>,
+    /// It was seen only after a boot time: the fleet began with nothing.
+    fleet_cold: bool,
     dirty: bool,
     schedule_next: Instant,
     beat_next: Instant,
@@ -234,6 +236,7 @@
             sack: Knapsack::default(),
             aims: Aims::new(p.objectives.clone()),
             fleet_since_ms: None,
+            fleet_cold: false,
             dirty: false,
             schedule_next: Duration::ZERO,
             beat_next: Duration::ZERO,
@@ -496,10 +499,15 @@
     fn view_changed(&mut self) {
         if self.fleet_since_ms.is_none() && !self.view.hosts.is_empty() {
             self.fleet_since_ms = Some(self.wall_ms());
+            let boot = self.types.iter().map(|t| t.startup_s).fold(f64::INFINITY, f64::min);
+            self.fleet_cold = self.now.as_secs_f64() > boot / 2.0;
         }
         for (spec, at_ms) in std::mem::take(&mut self.view.finished) {
-            // What came before any machine was up says nothing of their number.
-            if self.fleet_since_ms.is_none_or(|t| at_ms < t) {
+            // What came while the first machines were still to boot says nothing
+            // of their number.
+            let boot_ms = self.types.iter().map(|t| t.startup_s * 1000.0).fold(0.0, f64::max) as u64;
+            let boot_ms = if self.fleet_cold { boot_ms } else { 0 };
+            if self.fleet_since_ms.is_none_or(|t| at_ms < t + boot_ms) {
                 continue;
             }
             let took_s = self.wall_ms().saturating_sub(at_ms) as f64 / 1000.0;
