--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -165,6 +165,8 @@
     fleet_since_ms: Option<u64>,
     /// It was seen only after a boot time: the fleet began with nothing.
     fleet_cold: bool,
+    /// Live jobs whose aim has passed.
+    missed: BTreeSet<String>,
     dirty: bool,
     schedule_next: Instant,
     beat_next: Instant,
@@ -237,6 +239,7 @@
             aims: Aims::new(p.objectives.clone()),
             fleet_since_ms: None,
             fleet_cold: false,
+            missed: BTreeSet::new(),
             dirty: false,
             schedule_next: Duration::ZERO,
             beat_next: Duration::ZERO,
@@ -300,6 +303,7 @@
             self.perches_next = self.now + self.report_s(0.1);
             self.perches_tick();
             self.work_tick();
+            self.note_overdue();
         }
         self.lead_tick();
         if self.now >= self.beat_next {
@@ -495,6 +499,36 @@
         self.view_changed();
     }
 
+    fn note_end(&mut self, spec: &crate::protocol::user::JobSpec, at_ms: u64) {
+        // What came while the first machines were still to boot says nothing
+        // of their number.
+        let boot_ms = self.types.iter().map(|t| t.startup_s * 1000.0).fold(0.0, f64::max) as u64;
+        let boot_ms = if self.fleet_cold { boot_ms } else { 0 };
+        if self.fleet_since_ms.is_some_and(|t| at_ms >= t + boot_ms) {
+            let took_s = self.wall_ms().saturating_sub(at_ms) as f64 / 1000.0;
+            self.aims.note_end(spec, took_s);
+        }
+    }
+
+    /// A job whose aim has passed is a miss now: in an overload the late ones
+    /// wait longest, and counting ends alone would see only the good ones.
+    fn note_overdue(&mut self) {
+        let now_ms = self.wall_ms();
+        let mut late = Vec::new();
+        for (uid, j) in self.view.jobs.iter().filter(|(uid, j)| !j.withdrawn() && !self.missed.contains(*uid)) {
+            let age_s = now_ms.saturating_sub(j.rec.rec.at_ms) as f64 / 1000.0;
+            if self.aims.end_within(&j.spec).is_some_and(|a| age_s > a) {
+                late.push((uid.clone(), j.spec.clone(), j.rec.rec.at_ms));
+            }
+        }
+        for (uid, spec, at_ms) in late {
+            self.missed.insert(uid);
+            self.note_end(&spec, at_ms);
+        }
+        let view = &self.view;
+        self.missed.retain(|uid| view.jobs.contains_key(uid));
+    }
+
     /// What waits for the view to move is looked at again.
     fn view_changed(&mut self) {
         if self.fleet_since_ms.is_none() && !self.view.hosts.is_empty() {
@@ -503,15 +537,9 @@
             self.fleet_cold = self.now.as_secs_f64() > boot / 2.0;
         }
         for (spec, at_ms) in std::mem::take(&mut self.view.finished) {
-            // What came while the first machines were still to boot says nothing
-            // of their number.
-            let boot_ms = self.types.iter().map(|t| t.startup_s * 1000.0).fold(0.0, f64::max) as u64;
-            let boot_ms = if self.fleet_cold { boot_ms } else { 0 };
-            if self.fleet_since_ms.is_none_or(|t| at_ms < t + boot_ms) {
-                continue;
+            if !self.missed.remove(&spec.uid) {
+                self.note_end(&spec, at_ms);
             }
-            let took_s = self.wall_ms().saturating_sub(at_ms) as f64 / 1000.0;
-            self.aims.note_end(&spec, took_s);
         }
         self.retry_held();
         self.answer_queries();
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -91,6 +91,7 @@
     let workers = &settings.settings.workers;
     let limits = &settings.settings.machine_limits;
     let tick = Duration::from_secs_f64((workers.report_s / 100.0).clamp(0.01, 0.05));
+    tracing::info!(member = %settings.member, others = settings.others.len(), "controller starts");
     let mut net = Net {
         poll,
         start: std::time::Instant::now(),
