--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -91,6 +91,10 @@
     pub incarnation: u64,
     pub term: u64,
     pub epoch: u64,
+    /// It was up when the cluster began: the operators' own choice of size,
+    /// which is not undercut.
+    #[serde(default)]
+    pub base: bool,
     /// Takes no new tasks and is returned once it is empty.
     #[serde(default)]
     pub drain: bool,
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -112,6 +112,7 @@
             incarnation: self.incarnation,
             term: self.term(),
             epoch: 0,
+            base: self.beginning(),
             drain: false,
         };
         let txn = Txn {
@@ -121,6 +122,13 @@
         self.txn_keyed(txn, Why::Other);
     }
 
+    /// Whether this is the first report interval of the cluster's first term:
+    /// nothing that we rented can be up yet.
+    fn beginning(&self) -> bool {
+        let since = self.led_since.map(|t| self.now.saturating_sub(t));
+        self.term() == 1 && since.is_some_and(|s| s < self.report_s(1.5))
+    }
+
     fn term(&self) -> u64 {
         self.view.lead.as_ref().map_or(0, |l| l.rec.term)
     }
@@ -555,6 +563,7 @@
             .iter()
             .map(|(_, r)| r)
             .filter(|r| r.total_cores <= least && standing(&r.machine) == 0)
+            .filter(|r| self.view.hosts.get(&r.machine).is_some_and(|h| !h.rec.base))
             .filter(|r| !self.busy.contains(&records::host_key(&r.machine)))
             .min_by(|a, b| {
                 let used = |r: &Room| r.total_cores - r.cores;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -165,6 +165,8 @@
     fleet_since_ms: Option<u64>,
     /// It was seen only after a boot time: the fleet began with nothing.
     fleet_cold: bool,
+    /// When a leader was first seen.
+    led_since: Option<Instant>,
     /// Live jobs whose aim has passed.
     missed: BTreeSet<String>,
     dirty: bool,
@@ -239,6 +241,7 @@
             aims: Aims::new(p.objectives.clone()),
             fleet_since_ms: None,
             fleet_cold: false,
+            led_since: None,
             missed: BTreeSet::new(),
             dirty: false,
             schedule_next: Duration::ZERO,
@@ -531,6 +534,9 @@
 
     /// What waits for the view to move is looked at again.
     fn view_changed(&mut self) {
+        if self.led_since.is_none() && self.view.lead.is_some() {
+            self.led_since = Some(self.now);
+        }
         if self.fleet_since_ms.is_none() && !self.view.hosts.is_empty() {
             self.fleet_since_ms = Some(self.wall_ms());
             let boot = self.types.iter().map(|t| t.startup_s).fold(f64::INFINITY, f64::min);
