--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -401,7 +401,10 @@
     pub(super) fn shares_for(&self, spec: &JobSpec, waits: &[u32]) -> Vec<Share> {
         let members: Vec<String> = self.view.members.keys().cloned().collect();
         let whole = spec.form == Form::Ensemble || spec.together || spec.apart;
-        blocks::lease(spec, waits, &members, &self.rooms(true), &self.me, whole)
+        // A service goes where its image is, even if arrays must make room there.
+        let soon = spec.form == Form::Standing && self.aims.start_within(spec).is_some();
+        let rooms = self.rooms_beside(true, |s| !soon || s.form != Form::Batch);
+        blocks::lease(spec, waits, &members, &rooms, &self.me, whole)
     }
 }
 
