--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -191,7 +191,8 @@
             for j in on().filter(|j| counts(&j.spec)) {
                 room.take(&j.spec, 1);
             }
-            if room.cores > 0.0 {
+            // A full machine's images count as well: arrays may make room there.
+            if mine || room.cores > 0.0 {
                 room.images.extend(on().map(|j| j.spec.bundle.clone()));
                 if let Some(m) = self.machines.get(name).filter(|_| mine) {
                     room.images.extend(m.images.iter().cloned());
