--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -111,3 +111,53 @@
     }
     best.map(|(_, offer, t, each)| (offer, t, each))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::protocol::user::tests::spec;
+
+    fn types() -> Vec<MachineType> {
+        vec![MachineType {
+            label: "std".into(),
+            cores: 4.0,
+            gpus: 0.0,
+            mem_gb: 16.0,
+            local_gb: 60.0,
+            pull_gb_per_s: 1.0,
+            hourly: 0.4,
+            spot_price: 0.1,
+            startup_s: 30.0,
+            sites: vec!["a".into()],
+        }]
+    }
+
+    fn rentals(d: Demand, rooms: Vec<Room>, refused: &[bool]) -> Vec<(bool, u32)> {
+        let offer = |spot| Offer { build: "std".into(), site: "a".into(), spot };
+        let refused = refused.iter().map(|s| offer(*s)).collect();
+        wanted_rentals(&[d], rooms, &types(), &refused, 50).iter().map(|r| (r.offer.spot, r.number)).collect()
+    }
+
+    /// Room that boots must count, or each look rents the same machines again.
+    #[test]
+    fn only_what_does_not_fit_is_rented() {
+        let mut s = spec("run-1");
+        s.parcels = 99;
+        let d = |tasks| Demand { spec: &s, tasks, thrifty: false };
+        let boots = || vec![Room::empty("m", &types()[0], "a", true)];
+        assert_eq!(rentals(d(4), boots(), &[]), vec![]);
+        assert_eq!(rentals(d(9), boots(), &[]), vec![(true, 2)]);
+        assert_eq!(rentals(d(9), boots(), &[true]), vec![(false, 2)]);
+    }
+
+    #[test]
+    fn thrift_waits_where_spot_would_do_and_pays_where_it_may_not() {
+        let (any, mut ordinary) = (spec("run-1"), spec("run-2"));
+        ordinary.loaners = false;
+        fn thrifty(spec: &JobSpec) -> Demand<'_> {
+            Demand { spec, tasks: 2, thrifty: true }
+        }
+        assert_eq!(rentals(thrifty(&any), vec![], &[true]), vec![]);
+        assert_eq!(rentals(thrifty(&ordinary), vec![], &[true]), vec![(false, 1)]);
+    }
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -354,3 +354,104 @@
     able.sort_by(|a, b| b.cores.total_cmp(&a.cores).then(a.machine.cmp(&b.machine)));
     reserved.extend(able.iter().take(need).map(|r| r.machine.clone()));
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::protocol::user::tests::spec;
+
+    fn room(name: &str, cores: f64, image: &str) -> Room {
+        Room {
+            machine: name.into(),
+            build: "std".into(),
+            site: "a".into(),
+            spot: false,
+            cores,
+            gpus: 0.0,
+            mem_gb: 32.0,
+            total_cores: 8.0,
+            pull_gb_per_s: 0.25,
+            images: [image.to_string()].into(),
+        }
+    }
+
+    fn waits(spec: &JobSpec, tasks: u32, slack_s: f64, work: f64) -> Waiting<'_> {
+        Waiting {
+            spec,
+            tasks: (0..tasks).collect(),
+            waited_s: 1.0,
+            zones: BTreeMap::new(),
+            slack_s,
+            work,
+            start_within_s: None,
+            hopeless: false,
+            aim_s: None,
+        }
+    }
+
+    fn run(rooms: &mut [Room], mut waiting: Vec<Waiting>) -> Vec<Start> {
+        let rules = Rules { window: 500, step_gb: 0.25, wait_limit_s: 30.0 };
+        plan(rooms, &mut waiting, &rules, &mut Knapsack::default())
+    }
+
+    /// An ensemble that starts in part holds machines and makes no progress.
+    #[test]
+    fn an_ensemble_starts_whole_or_not_at_all() {
+        let mut gang = spec("run-1");
+        gang.form = Form::Ensemble;
+        gang.parcels = 5;
+        assert!(run(&mut [room("m1", 3.0, ""), room("m2", 1.0, "")], vec![waits(&gang, 5, 1.0, 1.0)]).is_empty());
+        assert_eq!(run(&mut [room("m1", 3.0, ""), room("m2", 2.0, "")], vec![waits(&gang, 5, 1.0, 1.0)]).len(), 5);
+        gang.together = true;
+        let mut far = room("m2", 4.0, "");
+        far.site = "b".into();
+        assert!(run(&mut [room("m1", 3.0, ""), far], vec![waits(&gang, 5, 1.0, 1.0)]).is_empty());
+    }
+
+    /// In an overload all tasks weigh the same and ties decide: serving late
+    /// jobs first made every job late.
+    #[test]
+    fn jobs_that_can_meet_their_aim_go_before_late_ones() {
+        let (late, big, small) = (spec("run-1"), spec("run-2"), spec("run-3"));
+        let waiting = vec![waits(&late, 2, -1.0, 1.0), waits(&big, 2, 5.0, 9.0), waits(&small, 2, 5.0, 2.0)];
+        let starts = run(&mut [room("m1", 3.0, "")], waiting);
+        let count = |uid: &str| starts.iter().filter(|s| s.uid == uid).count();
+        assert_eq!((count("run-3"), count("run-2"), count("run-1")), (2, 1, 0));
+    }
+
+    #[test]
+    fn constraints_of_a_job_are_kept() {
+        let mut s = spec("run-1");
+        s.loaners = false;
+        let mut spot = room("m1", 8.0, "");
+        spot.spot = true;
+        assert!(run(&mut [spot], vec![waits(&s, 2, 1.0, 1.0)]).is_empty());
+        s.builds = Some(vec!["other".into()]);
+        assert!(run(&mut [room("m1", 8.0, "")], vec![waits(&s, 2, 1.0, 1.0)]).is_empty());
+        s.builds = None;
+        s.apart = true;
+        s.parcels = 2;
+        assert_eq!(run(&mut [room("m1", 8.0, "")], vec![waits(&s, 2, 1.0, 1.0)]).len(), 1);
+        s.apart = false;
+        s.mem_gb = 20.0;
+        assert_eq!(run(&mut [room("m1", 8.0, "")], vec![waits(&s, 2, 1.0, 1.0)]).len(), 1);
+    }
+
+    /// The service's image is on a full machine: the task there that lost
+    /// least makes room, and no task of the same urgency ever does.
+    #[test]
+    fn preemption_takes_the_cheapest_victim_where_the_image_is() {
+        let mut service = spec("run-1");
+        service.urgency = Urgency::Urgent;
+        let array = spec("run-2");
+        let victim = |index, spec, cost| Victim { uid: "run-2".into(), index, attempt: 1, spec, cost };
+        let rooms = vec![
+            (room("m1", 0.0, "other"), vec![victim(0, &array, 0.0)]),
+            (room("m2", 0.0, "img"), vec![victim(1, &array, 9.0), victim(2, &array, 3.0)]),
+        ];
+        let (at, chosen) = preempt(&service, 1.0, &rooms).expect("room can be made");
+        assert_eq!((at, chosen.len(), chosen[0].index), (1, 1, 2));
+        service.urgency = Urgency::Standard;
+        assert!(preempt(&service, 1.0, &rooms).is_none());
+    }
+}
