--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -165,8 +165,12 @@
             let mut room = Room::empty(name, t, &h.rec.site, h.rec.spot);
             if mine {
                 let Some(m) = self.machines.get(name) else { continue };
-                let heard = m.heard_at.is_some_and(|t| self.now.saturating_sub(t) < silent);
-                if !heard || m.recall_s.is_some() || m.releasing || m.shut_until > self.now || m.warrant != m.token() {
+                let quiet = self.now.saturating_sub(m.heard_at.unwrap_or(m.owned_since));
+                let ready = m.heard_at.is_some() && quiet < silent && m.warrant == m.token();
+                // One that has just joined cannot take tasks yet, but it is
+                // there: left out of the reckoning it would be rented again.
+                let there = if everyone { quiet < silent * 2 } else { ready };
+                if !there || m.recall_s.is_some() || m.releasing || m.shut_until > self.now {
                     continue;
                 }
                 // What runs there though it should not takes room as well.
