--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -429,6 +429,7 @@
             let young = self.now.saturating_sub(r.at) < self.secs(self.late_s(&r.offer.build).min(1e6));
             if young
                 && coming(name)
+                && !self.list.contains_key(name)
                 && let Some(t) = self.machine_type(&r.offer.build)
             {
                 rooms.push(Room::empty(name, t, &r.offer.site, r.offer.spot));
--- a/src/coordination/blocks.rs
+++ b/src/coordination/blocks.rs
@@ -74,7 +74,7 @@
 pub fn room_by_member(rooms: &[(String, Room)], spec: &JobSpec) -> BTreeMap<String, (u32, u32)> {
     let mut out: BTreeMap<String, (u32, u32)> = BTreeMap::new();
     for (member, room) in rooms {
-        let n = room.fits(spec);
+        let n = room.fits(spec).min(spec.parcels);
         let e = out.entry(member.clone()).or_default();
         e.0 += n;
         if room.images.contains(&spec.bundle) {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -141,8 +141,8 @@
     /// Room that boots must count, or each look rents the same machines again.
     #[test]
     fn only_what_does_not_fit_is_rented() {
-        let mut s = spec("run-1");
-        s.parcels = 99;
+        // Room to spare is asked for more tasks than the job at hand has.
+        let s = spec("run-1");
         let d = |tasks| Demand { spec: &s, tasks, thrifty: false };
         let boots = || vec![Room::empty("m", &types()[0], "a", true)];
         assert_eq!(rentals(d(4), boots(), &[]), vec![]);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -5,7 +5,7 @@
 pub mod knapsack;
 
 use crate::protocol::cloud::MachineType;
-use crate::protocol::user::{Form, JobSpec, Urgency};
+use crate::protocol::user::{Form, JobSpec, TASKS_LIMIT, Urgency};
 use knapsack::{CPU_STEPS, Group, Knapsack, value};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -48,7 +48,7 @@
             && (spec.loaners || !self.spot)
     }
 
-    /// How many tasks of the job there is room for.
+    /// How many tasks like the job's there is room for, however many it has.
     pub fn fits(&self, spec: &JobSpec) -> u32 {
         if self.cores + SLACK < spec.cores || !self.allowed(spec) {
             return 0;
@@ -57,7 +57,7 @@
             if need > 0.0 { ((free + SLACK) / need).floor().max(0.0) } else { f64::INFINITY }
         };
         let n = times(self.cores, spec.cores).min(times(self.gpus, spec.gpus)).min(times(self.mem_gb, spec.mem_gb));
-        n.min(f64::from(spec.parcels)) as u32
+        n.min(f64::from(TASKS_LIMIT)) as u32
     }
 
     /// Whether the image is on the machine, or comes within that time.
