--- a/src/settings.rs
+++ b/src/settings.rs
@@ -140,7 +140,7 @@
             wait_limit_s: 30.0,
             window: 500,
             step_mb: 256.0,
-            idle_boots: 0.5,
+            idle_boots: 1.5,
             late_boots: 3.0,
             silent_reports: 2.5,
             spare_share: 0.15,
