--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -459,7 +459,7 @@
                 n = n.div_ceil(LATE_SHARE);
             }
             if n > 0 {
-                let d = Demand { spec: &j.spec, tasks: n, thrifty: !behind };
+                let d = Demand { spec: &j.spec, tasks: n, thrifty: lost && !behind };
                 if soon(&j.spec) { services.push(d) } else { arrays.push(d) }
             }
             if soon(&j.spec) {
