--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -73,6 +73,10 @@
             conns.push(conn);
             return;
         }
+        // Without the store nothing can be accepted: say so rather than wait.
+        if !self.fresh() {
+            return self.refuse(conn, 503, "the state service does not answer");
+        }
         if self.never_runs(&spec) {
             return self.refuse(conn, 422, "can never run");
         }
