--- /dev/null
+++ b/src/bookkeeping/mod.rs
@@ -0,0 +1,248 @@
+//! What is known of jobs, tasks, machines and members: the records of the
+//! state service as this controller sees them, and what follows from them.
+
+pub mod records;
+
+use crate::protocol::user::{JobSpec, Status};
+use ciborium::Value;
+use records::*;
+use std::collections::{BTreeMap, HashMap};
+
+/// A job that lives.
+#[derive(Debug)]
+pub struct Job {
+    pub spec: JobSpec,
+    pub rec: Versioned<JobRec>,
+    /// By chunk number; absent: nothing started yet, version 0.
+    pub chunks: BTreeMap<u32, Versioned<ChunkRec>>,
+    pub done: u32,
+    pub placed: u32,
+}
+
+impl Job {
+    pub fn chunk_count(&self, size: u32) -> u32 {
+        self.spec.parcels.div_ceil(size)
+    }
+
+    pub fn withdrawn(&self) -> bool {
+        self.rec.rec.end == Some(Status::Withdrawn)
+    }
+
+    pub fn is_done(&self, index: u32, size: u32) -> bool {
+        let chunk = self.chunks.get(&(index / size));
+        chunk.is_some_and(|c| in_ranges(&c.rec.done, index))
+    }
+
+    /// Where the task was started, if it was and has not finished.
+    pub fn place(&self, index: u32, size: u32) -> Option<&Place> {
+        let chunk = self.chunks.get(&(index / size))?;
+        chunk.rec.on.iter().find(|p| p.index == index)
+    }
+
+    /// Tasks that are neither done nor started, in order.
+    pub fn waiting(&self, size: u32) -> Vec<u32> {
+        if self.withdrawn() || self.done + self.placed >= self.spec.parcels {
+            return Vec::new();
+        }
+        (0..self.spec.parcels).filter(|i| !self.is_done(*i, size) && self.place(*i, size).is_none()).collect()
+    }
+
+    pub fn status(&self) -> Status {
+        if self.withdrawn() {
+            return Status::Withdrawn;
+        }
+        if self.placed > 0 { Status::Running } else { Status::Pending }
+    }
+}
+
+/// How a job ended; all that is kept of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ended {
+    pub status: Status,
+    pub parcels: u32,
+}
+
+pub type Placements = BTreeMap<(String, u32), u64>;
+
+/// The store as seen from here.
+#[derive(Debug, Default)]
+pub struct View {
+    /// Every change up to this revision has been taken in.
+    pub revision: u64,
+    pub chunk_size: u32,
+    pub members: Versions<MemberRec>,
+    pub lead: Option<Versioned<LeadRec>>,
+    pub term: Option<Versioned<TermRec>>,
+    pub hosts: Versions<HostRec>,
+    pub jobs: BTreeMap<String, Job>,
+    pub ended: HashMap<Box<str>, Ended>,
+    /// Tasks placed on each machine, by (job, index), with their attempt.
+    pub placed: HashMap<String, Placements>,
+    /// Chunks whose job record has not been seen yet.
+    orphans: BTreeMap<(String, u32), Versioned<ChunkRec>>,
+    /// Version of each limited team's record: it changes with every start.
+    pub teams: BTreeMap<String, u64>,
+}
+
+impl View {
+    pub fn new(chunk_size: u32) -> View {
+        View { chunk_size, ..View::default() }
+    }
+
+    /// Takes in a put, unless what is known of the key is as new.
+    pub fn put(&mut self, key: &str, data: &Value, version: u64) {
+        match parse_key(key) {
+            Some(Key::Term) => keep(&mut self.term, data, version),
+            Some(Key::Lead) => keep(&mut self.lead, data, version),
+            Some(Key::Member(name)) => keep_named(&mut self.members, name, data, version),
+            Some(Key::Host(name)) => keep_named(&mut self.hosts, name, data, version),
+            Some(Key::Team(name)) => {
+                let known = self.teams.entry(name.to_string()).or_default();
+                *known = version.max(*known);
+            }
+            Some(Key::Job(uid)) => {
+                if let Some(rec) = from_value(data) {
+                    self.put_job(uid, rec, version);
+                }
+            }
+            Some(Key::Chunk(uid, n)) => {
+                if let Some(rec) = from_value(data) {
+                    self.put_chunk(uid, n, rec, version);
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn put_job(&mut self, uid: &str, rec: JobRec, version: u64) {
+        if self.ended.contains_key(uid) {
+            return;
+        }
+        // A withdrawn job keeps its spec, and so lives on here, until the last
+        // of its tasks is known to be gone: they still take room and count
+        // for their team.
+        let Some(spec) = rec.spec.clone() else {
+            if let Some(status) = rec.end {
+                self.drop_job(uid);
+                let ended = Ended { status, parcels: rec.parcels };
+                self.ended.insert(uid.into(), ended);
+            }
+            return;
+        };
+        if let Some(job) = self.jobs.get_mut(uid) {
+            if version > job.rec.version {
+                job.rec = Versioned { rec, version };
+            }
+            return;
+        }
+        let job = Job { spec, rec: Versioned { rec, version }, chunks: BTreeMap::new(), done: 0, placed: 0 };
+        self.jobs.insert(uid.to_string(), job);
+        let waiting: Vec<u32> =
+            self.orphans.range((uid.to_string(), 0)..=(uid.to_string(), u32::MAX)).map(|(k, _)| k.1).collect();
+        for n in waiting {
+            if let Some(c) = self.orphans.remove(&(uid.to_string(), n)) {
+                self.put_chunk(uid, n, c.rec, c.version);
+            }
+        }
+    }
+
+    fn put_chunk(&mut self, uid: &str, n: u32, rec: ChunkRec, version: u64) {
+        if self.ended.contains_key(uid) {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(uid) else {
+            self.orphans.insert((uid.to_string(), n), Versioned { rec, version });
+            return;
+        };
+        if job.chunks.get(&n).is_some_and(|c| c.version >= version) {
+            return;
+        }
+        let old = job.chunks.remove(&n).map(|c| c.rec).unwrap_or_default();
+        job.done = job.done + count_ranges(&rec.done) - count_ranges(&old.done);
+        job.placed = job.placed + rec.on.len() as u32 - old.on.len() as u32;
+        unplace(&mut self.placed, uid, &old);
+        for p in &rec.on {
+            self.placed.entry(p.machine.clone()).or_default().insert((uid.to_string(), p.index), p.attempt);
+        }
+        job.chunks.insert(n, Versioned { rec, version });
+    }
+
+    fn drop_job(&mut self, uid: &str) {
+        if let Some(job) = self.jobs.remove(uid) {
+            for chunk in job.chunks.values() {
+                unplace(&mut self.placed, uid, &chunk.rec);
+            }
+        }
+        self.orphans.retain(|(u, _), _| u != uid);
+    }
+
+    pub fn delete(&mut self, key: &str, version: u64) {
+        match parse_key(key) {
+            Some(Key::Term) => forget(&mut self.term, version),
+            Some(Key::Lead) => forget(&mut self.lead, version),
+            Some(Key::Member(name)) => forget_named(&mut self.members, name, version),
+            Some(Key::Host(name)) => forget_named(&mut self.hosts, name, version),
+            // Jobs are never deleted, and chunks only with their job's end.
+            Some(Key::Job(_) | Key::Chunk(..) | Key::Team(_)) | None => {}
+        }
+    }
+
+    /// Whether this incarnation of a member holds a live lease.
+    pub fn is_live(&self, member: &str, incarnation: u64) -> bool {
+        self.members.get(member).is_some_and(|m| m.rec.incarnation == incarnation)
+    }
+
+    /// Whether the machine's owner of record still lives.
+    pub fn owned(&self, host: &HostRec) -> bool {
+        self.is_live(&host.owner, host.incarnation)
+    }
+
+    pub fn status(&self, uid: &str) -> Option<(Status, u32, u32)> {
+        if let Some(e) = self.ended.get(uid) {
+            let done = if e.status == Status::Done { e.parcels } else { 0 };
+            return Some((e.status, done, 0));
+        }
+        let job = self.jobs.get(uid)?;
+        Some((job.status(), job.done, job.placed))
+    }
+}
+
+fn unplace(placed: &mut HashMap<String, Placements>, uid: &str, chunk: &ChunkRec) {
+    for p in &chunk.on {
+        if let Some(on) = placed.get_mut(&p.machine) {
+            on.remove(&(uid.to_string(), p.index));
+            if on.is_empty() {
+                placed.remove(&p.machine);
+            }
+        }
+    }
+}
+
+fn keep<T: serde::de::DeserializeOwned>(slot: &mut Option<Versioned<T>>, data: &Value, version: u64) {
+    if slot.as_ref().is_some_and(|s| s.version >= version) {
+        return;
+    }
+    if let Some(rec) = from_value(data) {
+        *slot = Some(Versioned { rec, version });
+    }
+}
+
+fn keep_named<T: serde::de::DeserializeOwned>(map: &mut Versions<T>, name: &str, data: &Value, version: u64) {
+    let mut slot = map.remove(name);
+    keep(&mut slot, data, version);
+    if let Some(v) = slot {
+        map.insert(name.to_string(), v);
+    }
+}
+
+fn forget<T>(slot: &mut Option<Versioned<T>>, version: u64) {
+    if slot.as_ref().is_some_and(|s| s.version < version) {
+        *slot = None;
+    }
+}
+
+fn forget_named<T>(map: &mut Versions<T>, name: &str, version: u64) {
+    if map.get(name).is_some_and(|s| s.version < version) {
+        map.remove(name);
+    }
+}
--- /dev/null
+++ b/src/bookkeeping/records.rs
@@ -0,0 +1,239 @@
+//! The records kept in the state service, and their keys. Everything the
+//! program keeps lives under one prefix, so that one watch sees every change.
+
+use crate::protocol::user::{JobSpec, Status};
+use ciborium::Value;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::collections::BTreeMap;
+
+pub const PREFIX: &str = "fq/";
+/// Never written: reading it tells how far the ledger has come.
+pub const BARRIER_KEY: &str = "fq/none";
+pub const TERM_KEY: &str = "fq/term";
+pub const LEAD_KEY: &str = "fq/lead";
+
+/// A live controller; the key hangs on its lease. A restart is a new incarnation.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MemberRec {
+    pub incarnation: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LeadRec {
+    pub member: String,
+    pub incarnation: u64,
+    pub term: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TermRec {
+    pub term: u64,
+}
+
+/// Part of a job's tasks, leased to one controller to place.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Share {
+    pub member: String,
+    pub from: u32,
+    pub to: u32,
+}
+
+/// A job: all of it while it lives, only its end once it is over.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobRec {
+    /// Present while the job lives.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub spec: Option<JobSpec>,
+    /// The end, `done` or `withdrawn`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub end: Option<Status>,
+    pub parcels: u32,
+    /// Submission, in milliseconds of the time of day.
+    #[serde(default)]
+    pub at_ms: u64,
+    #[serde(default)]
+    pub shares: Vec<Share>,
+}
+
+/// Where a started task is: nowhere else may it be started meanwhile.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Place {
+    #[serde(rename = "i")]
+    pub index: u32,
+    #[serde(rename = "m")]
+    pub machine: String,
+    #[serde(rename = "a")]
+    pub attempt: u64,
+}
+
+/// The state of a run of tasks of one job.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ChunkRec {
+    /// Finished tasks, as inclusive ranges.
+    #[serde(default)]
+    pub done: Vec<(u32, u32)>,
+    /// Started and unfinished tasks.
+    #[serde(default)]
+    pub on: Vec<Place>,
+    /// The highest attempt number used.
+    #[serde(default)]
+    pub tries: u64,
+}
+
+/// A machine in the fleet and the controller whose block it belongs to.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HostRec {
+    pub addr: String,
+    pub build: String,
+    pub site: String,
+    pub spot: bool,
+    pub owner: String,
+    pub incarnation: u64,
+    pub term: u64,
+    pub epoch: u64,
+    /// Takes no new tasks and is returned once it is empty.
+    #[serde(default)]
+    pub drain: bool,
+}
+
+pub fn member_key(name: &str) -> String {
+    format!("fq/m/{name}")
+}
+
+pub fn job_key(uid: &str) -> String {
+    format!("fq/j/{uid}")
+}
+
+pub fn chunk_key(uid: &str, chunk: u32) -> String {
+    format!("fq/t/{uid}/{chunk}")
+}
+
+/// Changed by every start of a team that has a limit, so that two controllers
+/// cannot both use the last of it.
+pub fn team_key(name: &str) -> String {
+    format!("fq/q/{name}")
+}
+
+pub fn host_key(name: &str) -> String {
+    format!("fq/h/{name}")
+}
+
+/// A key taken apart.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Key<'a> {
+    Term,
+    Lead,
+    Member(&'a str),
+    Job(&'a str),
+    Chunk(&'a str, u32),
+    Host(&'a str),
+    Team(&'a str),
+}
+
+pub fn parse_key(key: &str) -> Option<Key<'_>> {
+    match key {
+        TERM_KEY => return Some(Key::Term),
+        LEAD_KEY => return Some(Key::Lead),
+        _ => {}
+    }
+    let (kind, rest) = key.strip_prefix(PREFIX)?.split_once('/')?;
+    match kind {
+        "m" => Some(Key::Member(rest)),
+        "j" => Some(Key::Job(rest)),
+        "h" => Some(Key::Host(rest)),
+        "q" => Some(Key::Team(rest)),
+        "t" => {
+            let (uid, chunk) = rest.rsplit_once('/')?;
+            Some(Key::Chunk(uid, chunk.parse().ok()?))
+        }
+        _ => None,
+    }
+}
+
+pub fn to_value<T: Serialize>(rec: &T) -> Value {
+    Value::serialized(rec).expect("records are plain data")
+}
+
+pub fn from_value<T: DeserializeOwned>(value: &Value) -> Option<T> {
+    value.deserialized().ok()
+}
+
+/// Tasks per chunk, such that a chunk's record fits the store's value limit
+/// whatever mix of its tasks is started or done: a place takes at most 24
+/// bytes and the machine's name.
+pub fn chunk_size(value_kb: f64) -> u32 {
+    ((value_kb * 1024.0 / 48.0) as u32).clamp(8, 512)
+}
+
+/// Marks `index` in a sorted list of inclusive ranges.
+pub fn add_to_ranges(ranges: &mut Vec<(u32, u32)>, index: u32) {
+    let at = ranges.partition_point(|r| r.1 < index);
+    if ranges.get(at).is_some_and(|r| r.0 <= index) {
+        return;
+    }
+    let joins_left = at > 0 && ranges[at - 1].1 + 1 == index;
+    let joins_right = ranges.get(at).is_some_and(|r| r.0 == index + 1);
+    match (joins_left, joins_right) {
+        (true, true) => {
+            ranges[at - 1].1 = ranges[at].1;
+            ranges.remove(at);
+        }
+        (true, false) => ranges[at - 1].1 = index,
+        (false, true) => ranges[at].0 = index,
+        (false, false) => ranges.insert(at, (index, index)),
+    }
+}
+
+pub fn in_ranges(ranges: &[(u32, u32)], index: u32) -> bool {
+    let at = ranges.partition_point(|r| r.1 < index);
+    ranges.get(at).is_some_and(|r| r.0 <= index)
+}
+
+pub fn count_ranges(ranges: &[(u32, u32)]) -> u32 {
+    ranges.iter().map(|r| r.1 - r.0 + 1).sum()
+}
+
+/// A versioned record as the view holds it.
+#[derive(Debug, Clone)]
+pub struct Versioned<T> {
+    pub rec: T,
+    pub version: u64,
+}
+
+pub type Versions<T> = BTreeMap<String, Versioned<T>>;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn ranges_agree_with_a_set_whatever_the_order() {
+        let order = [5u32, 3, 4, 9, 0, 8, 1, 7, 4, 2];
+        let mut ranges = Vec::new();
+        let mut set = std::collections::BTreeSet::new();
+        for i in order {
+            add_to_ranges(&mut ranges, i);
+            set.insert(i);
+            for probe in 0..11 {
+                assert_eq!(in_ranges(&ranges, probe), set.contains(&probe));
+            }
+            assert_eq!(count_ranges(&ranges), set.len() as u32);
+        }
+        assert_eq!(ranges, vec![(0, 5), (7, 9)]);
+    }
+
+    /// A record over the store's limit could never be written, and its tasks
+    /// would be started again and again.
+    #[test]
+    fn the_fullest_chunk_fits_the_store() {
+        let size = chunk_size(8.0);
+        let place = |index| Place { index, machine: "host-000231".into(), attempt: 100_000 };
+        let full = ChunkRec {
+            done: (0..size / 2).map(|i| (99_000 + i * 2, 99_000 + i * 2)).collect(),
+            on: (0..size).map(|i| place(99_000 + i)).collect(),
+            tries: 100_000,
+        };
+        let bytes = crate::protocol::encode(&full).len();
+        assert!(bytes <= 8 * 1024, "{bytes}");
+    }
+}
--- /dev/null
+++ b/src/controller/lead.rs
@@ -0,0 +1,508 @@
+//! The leader's duties: enrolling machines, granting blocks, leasing jobs
+//! anew, closing finished records, renting machines and returning idle ones.
+//! Every write is conditional on the lead still being ours.
+
+use super::work::end_op;
+use super::*;
+use crate::coordination::blocks::{self, wanted_moves};
+use crate::fleet::{Demand, Offer, fits, wanted_rentals};
+use crate::placement::Room;
+use crate::protocol::cloud::{
+    CATALOG, Catalog, Page, Phase, RELEASE_LIMIT, RENT, RENT_LIMIT, Rent, Rented as RentedBody, list_path,
+};
+use crate::protocol::store::{Cond, Op};
+use crate::protocol::user::{Form, JobSpec, Status};
+use crate::protocol::{decode, encode};
+use records::{HostRec, JobRec, LeadRec, TermRec};
+
+impl Controller {
+    pub(super) fn lead_tick(&mut self) {
+        let now = self.now;
+        if self.types.is_empty() || now >= self.types_next {
+            self.fetch_types();
+        }
+        if now < self.lead_next {
+            return;
+        }
+        self.lead_next = now + self.report_s(0.1);
+        if !self.am_leader() {
+            self.claim();
+            return;
+        }
+        if !self.fresh() {
+            return;
+        }
+        self.grant_blocks();
+        if now >= self.relet_next {
+            self.relet_next = now + self.report_s(0.25);
+            self.close_jobs();
+            self.relet();
+        }
+        self.fleet_tick();
+    }
+
+    /// Takes the lead where nobody alive holds it.
+    fn claim(&mut self) {
+        let Some(lease) = self.ses.lease else { return };
+        if !self.view.is_live(&self.me, self.incarnation) || self.busy.contains(records::TERM_KEY) {
+            return;
+        }
+        let lead = self.view.lead.as_ref();
+        if lead.is_some_and(|l| self.view.is_live(&l.rec.member, l.rec.incarnation)) || !self.writes.has(self.now, 2.0)
+        {
+            return;
+        }
+        let term = self.view.term.as_ref().map_or(0, |t| t.rec.term) + 1;
+        let rec = LeadRec { member: self.me.clone(), incarnation: self.incarnation, term };
+        let txn = Txn {
+            conds: vec![
+                Cond { key: records::LEAD_KEY.into(), entry_no: lead.map_or(0, |l| l.version) },
+                Cond { key: records::TERM_KEY.into(), entry_no: self.view.term.as_ref().map_or(0, |t| t.version) },
+            ],
+            ops: vec![
+                Op::Put { key: records::LEAD_KEY.into(), data: records::to_value(&rec), lease: Some(lease) },
+                Op::Put { key: records::TERM_KEY.into(), data: records::to_value(&TermRec { term }), lease: None },
+            ],
+        };
+        self.txn(txn, Why::Lead);
+    }
+
+    fn lead_cond(&self) -> Cond {
+        let version = self.view.lead.as_ref().map_or(0, |l| l.version);
+        Cond { key: records::LEAD_KEY.into(), entry_no: version }
+    }
+
+    /// A transaction whose host keys count as busy as well.
+    pub(super) fn txn_keyed(&mut self, txn: Txn, why: Why) {
+        let mut keys: Vec<String> = txn.conds.iter().map(|c| c.key.clone()).collect();
+        keys.retain(|k| k != records::LEAD_KEY);
+        self.writes.spend(txn.ops.len() as f64);
+        self.busy.extend(keys.iter().cloned());
+        let body = encode(&txn);
+        let timeout = self.report_s(1.0);
+        self.call(Target::State, "POST", store::TXN.into(), Some(body), timeout, Purpose::Txn { txn, why, keys });
+    }
+
+    /// A machine that reports and is not known: it joins the lightest block.
+    pub(super) fn enrol(&mut self, report: &Report) {
+        let key = records::host_key(&report.machine);
+        if self.busy.contains(&key) || self.gone.contains(&report.machine) || !self.writes.has(self.now, 1.0) {
+            return;
+        }
+        let mut load = BTreeMap::new();
+        let mut total: BTreeMap<&str, i64> = self.view.members.keys().map(|m| (m.as_str(), 0)).collect();
+        for h in self.view.hosts.values().filter(|h| self.view.owned(&h.rec)) {
+            *load.entry((h.rec.build.as_str(), h.rec.owner.as_str())).or_default() += 1;
+            *total.entry(&h.rec.owner).or_default() += 1;
+        }
+        // Enrolments under way are not in the view yet; spread them by name.
+        let Some(owner) = blocks::lightest(&load, &total, &report.build).map(str::to_string) else { return };
+        let Some(incarnation) = self.view.members.get(&owner).map(|m| m.rec.incarnation) else { return };
+        self.epoch += 1;
+        let rec = HostRec {
+            addr: report.addr.clone(),
+            build: report.build.clone(),
+            site: report.site.clone(),
+            spot: report.spot,
+            owner,
+            incarnation,
+            term: self.term(),
+            epoch: self.epoch,
+            drain: false,
+        };
+        let txn = Txn {
+            conds: vec![self.lead_cond(), Cond { key: key.clone(), entry_no: 0 }],
+            ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
+        };
+        self.txn_keyed(txn, Why::Other);
+    }
+
+    fn term(&self) -> u64 {
+        self.view.lead.as_ref().map_or(0, |l| l.rec.term)
+    }
+
+    fn grant_blocks(&mut self) {
+        let limit = self.set.settings.state.txn_ops.min(self.writes.rate as usize).max(1);
+        let deaf = self.deaf_machines();
+        let moves = wanted_moves(&self.view, &deaf, limit);
+        if moves.is_empty() || !self.writes.has(self.now, moves.len() as f64) {
+            return;
+        }
+        let mut txn = Txn { conds: vec![self.lead_cond()], ops: Vec::new() };
+        for m in moves {
+            let key = records::host_key(&m.machine);
+            let (Some(h), Some(to)) = (self.view.hosts.get(&m.machine), self.view.members.get(&m.to)) else { continue };
+            if self.busy.contains(&key) {
+                continue;
+            }
+            self.epoch += 1;
+            let rec = HostRec {
+                owner: m.to.clone(),
+                incarnation: to.rec.incarnation,
+                term: self.term(),
+                epoch: self.epoch,
+                ..h.rec.clone()
+            };
+            tracing::debug!(machine = %m.machine, from = %h.rec.owner, to = %m.to, "machine granted");
+            txn.conds.push(Cond { key: key.clone(), entry_no: h.version });
+            txn.ops.push(Op::Put { key, data: records::to_value(&rec), lease: None });
+        }
+        if !txn.ops.is_empty() {
+            self.txn_keyed(txn, Why::Other);
+        }
+    }
+
+    /// Machines that reach another controller, but not their owner.
+    fn deaf_machines(&self) -> Vec<(String, String)> {
+        let (deaf, near) = (self.report_s(3.0), self.report_s(1.5));
+        let age = |member: &str, machine: &str| -> Option<Duration> {
+            if member == self.me {
+                return self.heard.get(machine).map(|t| self.now.saturating_sub(*t));
+            }
+            let p = self.peers.get(member)?;
+            let (_, ms) = p.beat.heard.iter().find(|(m, _)| m == machine)?;
+            Some(Duration::from_millis(*ms) + self.now.saturating_sub(p.at))
+        };
+        let mut out = Vec::new();
+        for (name, h) in self.view.hosts.iter().filter(|(_, h)| self.view.owned(&h.rec)) {
+            let current = h.rec.owner == self.me
+                || self.peers.get(&h.rec.owner).is_some_and(|p| self.now.saturating_sub(p.at) < near);
+            if !current || age(&h.rec.owner, name).is_some_and(|a| a < deaf) {
+                continue;
+            }
+            // Freshly granted machines have had no time to come over.
+            if self.view.revision.saturating_sub(h.version) < 1
+                || self.machines.get(name).is_some_and(|m| self.now.saturating_sub(m.owned_since) < deaf)
+            {
+                continue;
+            }
+            let hears = self.view.members.keys().find(|m| **m != h.rec.owner && age(m, name).is_some_and(|a| a < near));
+            if let Some(m) = hears {
+                out.push((name.clone(), m.clone()));
+            }
+        }
+        out
+    }
+
+    /// Ends the records of jobs whose last task is done or gone.
+    fn close_jobs(&mut self) {
+        let mut txns = Vec::new();
+        for (uid, j) in &self.view.jobs {
+            let status = if j.withdrawn() && j.placed == 0 {
+                Status::Withdrawn
+            } else if !j.withdrawn() && j.done >= j.spec.parcels {
+                Status::Done
+            } else {
+                continue;
+            };
+            let key = records::job_key(uid);
+            if self.busy.contains(&key) {
+                continue;
+            }
+            let keys: Vec<String> = j.chunks.keys().map(|n| records::chunk_key(uid, *n)).collect();
+            let mut txn = Txn {
+                conds: vec![Cond { key, entry_no: j.rec.version }],
+                ops: vec![end_op(uid, status, j.spec.parcels)],
+            };
+            for (c, k) in j.chunks.values().zip(&keys).take(self.set.settings.state.txn_ops - 1) {
+                txn.conds.push(Cond { key: k.clone(), entry_no: c.version });
+                txn.ops.push(Op::Delete { key: k.clone() });
+            }
+            txns.push(txn);
+        }
+        for txn in txns {
+            if self.writes.has(self.now, txn.ops.len() as f64) {
+                self.txn(txn, Why::Other);
+            }
+        }
+    }
+
+    /// Leases waiting tasks anew whose holder is gone, or has no room while
+    /// another block has.
+    fn relet(&mut self) {
+        let size = self.view.chunk_size;
+        let rooms = self.rooms(true);
+        let patient = self.report_s(0.25);
+        let mut txns = Vec::new();
+        for (uid, j) in &self.view.jobs {
+            let waits = j.waiting(size);
+            if waits.is_empty() || self.busy.contains(&records::job_key(uid)) {
+                continue;
+            }
+            let shares = &j.rec.rec.shares;
+            let holder = |i: u32| shares.iter().find(|s| (s.from..=s.to).contains(&i)).map(|s| s.member.as_str());
+            let lost = waits.iter().any(|i| holder(*i).is_none_or(|m| !self.view.members.contains_key(m)));
+            let waited = self
+                .patience
+                .get(uid)
+                .and_then(|p| p.waiting_since)
+                .is_some_and(|t| self.now.saturating_sub(t) > patient);
+            if !lost && !waited {
+                continue;
+            }
+            let room = blocks::room_by_member(&rooms, &j.spec);
+            let fit = |m: &str| room.get(m).map_or(0, |r| r.0);
+            let mut need: BTreeMap<&str, u32> = BTreeMap::new();
+            for m in waits.iter().filter_map(|i| holder(*i)) {
+                *need.entry(m).or_default() += 1;
+            }
+            let short = need.iter().any(|(m, n)| fit(m) < *n);
+            let spare = room.iter().any(|(m, r)| r.0 > need.get(m.as_str()).copied().unwrap_or(0));
+            let helps = short && spare;
+            if !lost && !helps {
+                continue;
+            }
+            let new = self.shares_for(&j.spec, &waits);
+            if new == *shares {
+                continue;
+            }
+            let key = records::job_key(uid);
+            let rec = JobRec { shares: new, ..j.rec.rec.clone() };
+            txns.push(Txn {
+                conds: vec![self.lead_cond(), Cond { key: key.clone(), entry_no: j.rec.version }],
+                ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
+            });
+        }
+        for txn in txns {
+            // A reserve stays for accepting jobs and recording exits.
+            if self.writes.has(self.now, self.writes.rate / 2.0) {
+                self.txn(txn, Why::Other);
+            }
+        }
+    }
+
+    fn fetch_types(&mut self) {
+        if self.types_busy || self.now < self.types_next && !self.types.is_empty() || !self.cloud.has(self.now, 1.0) {
+            return;
+        }
+        self.types_busy = true;
+        self.cloud.spend(1.0);
+        self.types_next = self.now + self.secs(self.set.settings.workers.lease_s);
+        let timeout = self.report_s(2.0);
+        self.call(Target::Cloud, "GET", CATALOG.into(), None, timeout, Purpose::Catalog);
+    }
+
+    fn fleet_tick(&mut self) {
+        let now = self.now;
+        if !self.list_busy && now >= self.list_next && self.cloud.has(now, 1.0) {
+            self.list_busy = true;
+            self.cloud.spend(1.0);
+            self.list_new.clear();
+            self.list_page("");
+        }
+        if self.list_at.is_none() || self.types.is_empty() {
+            return;
+        }
+        self.refused.retain(|_, until| *until > now);
+        self.return_strays();
+        self.rent();
+        self.return_idle();
+    }
+
+    fn list_page(&mut self, after: &str) {
+        let timeout = self.report_s(2.0);
+        self.call(Target::Cloud, "GET", list_path(after), None, timeout, Purpose::List);
+    }
+
+    pub(super) fn cloud_answer(&mut self, purpose: Purpose, result: Result<Reply, NoAnswer>) {
+        match purpose {
+            Purpose::Catalog => {
+                self.types_busy = false;
+                if let Ok(r) = result
+                    && r.status == 200
+                    && let Ok(c) = decode::<Catalog>(&r.body)
+                {
+                    self.types = c.builds;
+                    self.dirty = true;
+                } else {
+                    self.types_next = self.now + self.report_s(0.5);
+                }
+            }
+            Purpose::List => {
+                let lag = self.set.settings.cloud.list_lag_s;
+                self.list_busy = false;
+                self.list_next = self.now + self.secs(lag / 2.0);
+                let Ok(r) = result else { return };
+                if r.status != 200 {
+                    return;
+                }
+                let Ok(page) = decode::<Page>(&r.body) else { return };
+                let last = page.machines.last().map(|m| m.uid.clone());
+                for m in page.machines {
+                    self.list_new.insert(m.uid.clone(), m);
+                }
+                if let Some(last) = last
+                    && page.truncated
+                {
+                    self.list_busy = true;
+                    self.list_page(&last);
+                    return;
+                }
+                self.list = std::mem::take(&mut self.list_new);
+                self.list_at = Some(self.now);
+                let list = &self.list;
+                self.rented.retain(|name, _| !list.contains_key(name));
+            }
+            Purpose::Rent { offer } => {
+                self.renting = self.renting.saturating_sub(1);
+                match result {
+                    Ok(r) if r.status == 200 => {
+                        let names = decode::<RentedBody>(&r.body).map(|b| b.machines).unwrap_or_default();
+                        tracing::info!(build = %offer.build, site = %offer.site, spot = offer.spot, machines = names.len(), "machines rented");
+                        for n in names {
+                            self.rented.insert(n, Rented { offer: offer.clone(), at: self.now });
+                        }
+                    }
+                    Ok(r) if r.status == 503 => {
+                        let pause = self.secs(self.set.settings.workers.lease_s);
+                        self.refused.insert(offer, self.now + pause);
+                    }
+                    _ => {}
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn late_s(&self, build: &str) -> f64 {
+        self.machine_type(build).map_or(f64::MAX, |t| t.startup_s * self.set.operator.late_boots)
+    }
+
+    /// Machines that failed, or were rented and never came up, are returned.
+    fn return_strays(&mut self) {
+        let mut names = Vec::new();
+        for (name, l) in &self.list {
+            let known = self.view.hosts.contains_key(name) || self.heard.contains_key(name);
+            let late = l.phase != Phase::Failed && l.held_s > self.late_s(&l.build);
+            if !known
+                && (late || l.phase == Phase::Failed)
+                && !self.gone.contains(name)
+                && !self.releasing.contains(name)
+            {
+                names.push(name.clone());
+            }
+        }
+        names.truncate(RELEASE_LIMIT);
+        if !names.is_empty() && self.cloud.has(self.now, 1.0) {
+            tracing::info!(machines = names.len(), reason = "never came up", "machines are returned");
+            self.release(names);
+        }
+    }
+
+    /// Free room that is there or on its way.
+    fn expected_rooms(&self) -> Vec<Room> {
+        let mut rooms: Vec<Room> = self.rooms(true).into_iter().map(|(_, r)| r).collect();
+        let coming = |name: &str| !self.view.hosts.contains_key(name) && !self.gone.contains(name);
+        for (name, l) in &self.list {
+            if matches!(l.phase, Phase::Booting | Phase::Running)
+                && coming(name)
+                && let Some(t) = self.machine_type(&l.build)
+            {
+                rooms.push(Room::empty(name, t, &l.site, l.spot));
+            }
+        }
+        for (name, r) in &self.rented {
+            let young = self.now.saturating_sub(r.at) < self.secs(self.late_s(&r.offer.build).min(1e6));
+            if young
+                && coming(name)
+                && let Some(t) = self.machine_type(&r.offer.build)
+            {
+                rooms.push(Room::empty(name, t, &r.offer.site, r.offer.spot));
+            }
+        }
+        rooms
+    }
+
+    /// Waiting tasks, and room to spare for classes that must start soon.
+    fn demand(&self) -> Vec<Demand<'_>> {
+        let size = self.view.chunk_size;
+        let mut out: Vec<Demand> = Vec::new();
+        let mut spare: BTreeMap<&str, (&JobSpec, u32)> = BTreeMap::new();
+        for j in self.view.jobs.values().filter(|j| !j.withdrawn()) {
+            let n = j.waiting(size).len() as u32;
+            if n > 0 {
+                out.push(Demand { spec: &j.spec, tasks: n });
+            }
+            let soon = self
+                .set
+                .settings
+                .objectives
+                .iter()
+                .any(|o| o.kind == "wait" && o.class.as_deref() == Some(&j.spec.docket));
+            if soon && j.spec.form == Form::Standing {
+                let e = spare.entry(&j.spec.docket).or_insert((&j.spec, 0));
+                e.1 += j.spec.parcels;
+            }
+        }
+        out.sort_by_key(|d| std::cmp::Reverse(d.spec.urgency));
+        for (spec, n) in spare.into_values() {
+            let tasks = (f64::from(n) * self.set.operator.spare_share).ceil() as u32 + 1;
+            out.push(Demand { spec, tasks });
+        }
+        out
+    }
+
+    fn rent(&mut self) {
+        if self.renting > 0 || !self.cloud.has(self.now, 1.0) {
+            return;
+        }
+        let refused: BTreeSet<Offer> = self.refused.keys().cloned().collect();
+        let rentals = wanted_rentals(&self.demand(), self.expected_rooms(), &self.types, &refused, RENT_LIMIT);
+        for r in rentals {
+            if !self.cloud.has(self.now, 1.0) {
+                return;
+            }
+            self.cloud.spend(1.0);
+            self.renting += 1;
+            self.charter += 1;
+            let charter = format!("fq-{}-{}", self.term(), self.charter);
+            let body = encode(&Rent {
+                charter: &charter,
+                build: &r.offer.build,
+                site: &r.offer.site,
+                spot: r.offer.spot,
+                number: r.number.min(RENT_LIMIT),
+            });
+            let timeout = self.report_s(2.0);
+            self.call(Target::Cloud, "POST", RENT.into(), Some(body), timeout, Purpose::Rent { offer: r.offer });
+        }
+    }
+
+    /// Marks a machine for return that was empty for long and is not needed.
+    fn return_idle(&mut self) {
+        let now = self.now;
+        let mut idle: Option<(String, u64)> = None;
+        let names: Vec<String> = self.view.hosts.keys().cloned().collect();
+        for name in names {
+            if self.view.placed.contains_key(&name) {
+                self.empty_since.remove(&name);
+                continue;
+            }
+            let since = *self.empty_since.entry(name.clone()).or_insert(now);
+            let Some(h) = self.view.hosts.get(&name) else { continue };
+            let boot = self.machine_type(&h.rec.build).map_or(f64::MAX, |t| t.startup_s);
+            let rest = self.secs((boot * self.set.operator.idle_boots).min(1e6));
+            if !h.rec.drain && now.saturating_sub(since) > rest {
+                idle = Some((name, h.version));
+            }
+        }
+        let view = &self.view;
+        self.empty_since.retain(|n, _| view.hosts.contains_key(n));
+        let Some((name, version)) = idle else { return };
+        let key = records::host_key(&name);
+        if self.busy.contains(&key) || !self.writes.has(now, self.writes.rate / 2.0) {
+            return;
+        }
+        let mut rooms: Vec<Room> = self.rooms(true).into_iter().map(|(_, r)| r).filter(|r| r.machine != name).collect();
+        if !fits(&self.demand(), &mut rooms) {
+            return;
+        }
+        let Some(h) = self.view.hosts.get(&name) else { return };
+        let rec = HostRec { drain: true, ..h.rec.clone() };
+        let txn = Txn {
+            conds: vec![self.lead_cond(), Cond { key: key.clone(), entry_no: version }],
+            ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
+        };
+        self.txn_keyed(txn, Why::Other);
+    }
+}
--- /dev/null
+++ b/src/controller/mod.rs
@@ -0,0 +1,438 @@
+//! One controller: takes events, keeps the view and the wanted state, and runs
+//! the loops that work out what to do. No sockets, no clock; `now` comes in
+//! with every event.
+
+mod lead;
+mod perches;
+mod requests;
+mod sync;
+mod work;
+
+use crate::bookkeeping::View;
+use crate::bookkeeping::records::{self, Versioned};
+use crate::coordination::machine::Machine;
+use crate::coordination::session::Session;
+use crate::effects::{Action, CallId, ConnId, Event, Instant, NoAnswer, Reply, Target};
+use crate::placement::knapsack::Knapsack;
+use crate::protocol::cloud::{Listed, MachineType};
+use crate::protocol::peer::{Beat, Frame};
+use crate::protocol::store::{self, Txn};
+use crate::protocol::worker::Report;
+use crate::settings::Settings;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+/// Why a call was made; decides what its answer means.
+#[derive(Debug)]
+enum Purpose {
+    Lease,
+    Renew,
+    Scan,
+    Follow,
+    Barrier,
+    Catalog,
+    List,
+    Rent { offer: crate::fleet::Offer },
+    Release { machines: Vec<String> },
+    Push { machine: String, grant: u64 },
+    Txn { txn: Txn, why: Why, keys: Vec<String> },
+}
+
+/// What a transaction was for.
+#[derive(Debug)]
+enum Why {
+    Accept(String),
+    Withdraw(String),
+    /// Starts and exits of one job; the machines that got starts.
+    Work(Vec<String>),
+    Lead,
+    Other,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Queued,
+    Asked,
+    Need(u64),
+}
+
+/// A query that waits for a read barrier.
+#[derive(Debug)]
+struct Query {
+    conn: ConnId,
+    uid: String,
+    /// The user asked to withdraw the job rather than for its state.
+    withdraw: bool,
+    stage: Stage,
+    until: Instant,
+}
+
+/// A report that waits for a grant to be made or seen.
+#[derive(Debug)]
+struct HeldReport {
+    conn: ConnId,
+    report: Report,
+    until: Instant,
+}
+
+/// A rate limit with bursts worth one second.
+#[derive(Debug)]
+struct Bucket {
+    rate: f64,
+    level: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    fn new(rate: f64) -> Bucket {
+        Bucket { rate, level: rate, at: Duration::ZERO }
+    }
+
+    fn has(&mut self, now: Instant, n: f64) -> bool {
+        let dt = now.saturating_sub(self.at).as_secs_f64();
+        self.level = (self.level + dt * self.rate).min(self.rate.max(1.0));
+        self.at = now;
+        self.level >= n
+    }
+
+    fn spend(&mut self, n: f64) {
+        self.level -= n;
+    }
+}
+
+/// Exits of one job's tasks that are not in the store yet.
+#[derive(Debug, Default)]
+struct Change {
+    done: BTreeSet<u32>,
+    /// Attempts known to be gone from their machine.
+    clear: BTreeSet<(u32, u64)>,
+}
+
+#[derive(Debug)]
+struct PeerView {
+    beat: Beat,
+    at: Instant,
+}
+
+#[derive(Debug)]
+struct Rented {
+    offer: crate::fleet::Offer,
+    at: Instant,
+}
+
+/// Waiting and failing of one job, as seen here.
+#[derive(Debug, Default)]
+struct Patience {
+    waiting_since: Option<Instant>,
+    failures: u32,
+    not_before: Instant,
+}
+
+pub struct Controller {
+    set: Settings,
+    me: String,
+    incarnation: u64,
+    wall: Duration,
+    now: Instant,
+    out: Vec<Action>,
+    next_call: CallId,
+    calls: HashMap<CallId, Purpose>,
+    ses: Session,
+    view: View,
+    scan: View,
+    types: Vec<MachineType>,
+    types_next: Instant,
+    types_busy: bool,
+    queries: Vec<Query>,
+    accepting: HashMap<String, Vec<ConnId>>,
+    withdrawing: HashMap<String, Vec<ConnId>>,
+    held: Vec<HeldReport>,
+    machines: BTreeMap<String, Machine>,
+    heard: HashMap<String, Instant>,
+    changes: BTreeMap<String, Change>,
+    busy: BTreeSet<String>,
+    patience: HashMap<String, Patience>,
+    writes: Bucket,
+    cloud: Bucket,
+    peers: HashMap<String, PeerView>,
+    sack: Knapsack,
+    dirty: bool,
+    schedule_next: Instant,
+    beat_next: Instant,
+    lead_next: Instant,
+    relet_next: Instant,
+    epoch: u64,
+    charter: u64,
+    list: BTreeMap<String, Listed>,
+    list_new: BTreeMap<String, Listed>,
+    list_at: Option<Instant>,
+    list_next: Instant,
+    list_busy: bool,
+    rented: BTreeMap<String, Rented>,
+    renting: u32,
+    refused: BTreeMap<crate::fleet::Offer, Instant>,
+    empty_since: HashMap<String, Instant>,
+    /// Releases that got no answer yet, and those that did: nothing is left there.
+    releasing: BTreeSet<String>,
+    gone: BTreeSet<String>,
+    release_tokens: f64,
+    release_at: Instant,
+}
+
+impl Controller {
+    /// `incarnation` tells this process from earlier ones of the same name;
+    /// `wall` is the time of day at the start.
+    pub fn new(set: Settings, incarnation: u64, wall: Duration) -> Controller {
+        let p = &set.settings;
+        let n = set.controllers() as f64;
+        // A quarter of the store's requests goes to each kind of steady read.
+        let gap = Duration::from_secs_f64(n / (p.state.rps * 0.25));
+        let ttl = Duration::from_secs_f64((p.workers.report_s * 2.0).min(p.workers.lease_s / 3.0));
+        let chunk = records::chunk_size(p.state.value_kb);
+        Controller {
+            me: set.member.clone(),
+            incarnation: incarnation >> 1,
+            wall,
+            now: Duration::ZERO,
+            out: Vec::new(),
+            next_call: 1,
+            calls: HashMap::new(),
+            ses: Session::new(ttl, gap),
+            view: View::new(chunk),
+            scan: View::new(chunk),
+            types: Vec::new(),
+            types_next: Duration::ZERO,
+            types_busy: false,
+            queries: Vec::new(),
+            accepting: HashMap::new(),
+            withdrawing: HashMap::new(),
+            held: Vec::new(),
+            machines: BTreeMap::new(),
+            heard: HashMap::new(),
+            changes: BTreeMap::new(),
+            busy: BTreeSet::new(),
+            patience: HashMap::new(),
+            writes: Bucket::new(p.state.write_rps / n * 0.9),
+            cloud: Bucket::new(p.cloud.rps / n),
+            peers: HashMap::new(),
+            sack: Knapsack::default(),
+            dirty: false,
+            schedule_next: Duration::ZERO,
+            beat_next: Duration::ZERO,
+            lead_next: Duration::ZERO,
+            relet_next: Duration::ZERO,
+            epoch: 0,
+            charter: 0,
+            list: BTreeMap::new(),
+            list_new: BTreeMap::new(),
+            list_at: None,
+            list_next: Duration::ZERO,
+            list_busy: false,
+            rented: BTreeMap::new(),
+            renting: 0,
+            refused: BTreeMap::new(),
+            empty_since: HashMap::new(),
+            releasing: BTreeSet::new(),
+            gone: BTreeSet::new(),
+            release_tokens: 1.0,
+            release_at: Duration::ZERO,
+            set,
+        }
+    }
+
+    pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
+        self.now = now;
+        match event {
+            Event::Request { conn, method, path, body } => self.request(conn, &method, &path, &body),
+            Event::Answer { id, result } => {
+                if let Some(purpose) = self.calls.remove(&id) {
+                    self.answer(id, purpose, result);
+                }
+            }
+            Event::Peer { member, frame: Frame::Beat(beat) } => {
+                self.peers.insert(member, PeerView { beat, at: now });
+            }
+            Event::Peer { frame: Frame::Hello { .. }, .. } => {}
+            Event::Tick => self.tick(),
+        }
+        if self.dirty && self.now >= self.schedule_next {
+            self.dirty = false;
+            self.schedule_next = self.now + self.ses.gap;
+            self.schedule();
+        }
+        actions.append(&mut self.out);
+    }
+
+    fn tick(&mut self) {
+        self.sync_tick();
+        self.requests_tick();
+        if !self.ses.following() {
+            return;
+        }
+        self.perches_tick();
+        self.work_tick();
+        self.lead_tick();
+        if self.now >= self.beat_next {
+            self.beat_next = self.now + self.secs(self.set.settings.workers.report_s / 2.0);
+            self.beat();
+        }
+    }
+
+    /// Tells the other controllers what is seen from here.
+    fn beat(&mut self) {
+        let keep = self.report_s(4.0);
+        let now = self.now;
+        self.heard.retain(|_, t| now.saturating_sub(*t) < keep);
+        let millis = |d: Duration| d.as_millis() as u64;
+        let beat = Beat {
+            incarnation: self.incarnation,
+            stale_ms: self.ses.staleness(now).map_or(u64::MAX, millis),
+            heard: self.heard.iter().map(|(m, t)| (m.clone(), millis(now.saturating_sub(*t)))).collect(),
+        };
+        for other in &self.set.others {
+            let frame = Frame::Beat(beat.clone());
+            self.out.push(Action::Send { member: other.member.clone(), frame });
+        }
+    }
+
+    fn secs(&self, s: f64) -> Duration {
+        Duration::from_secs_f64(s.max(0.0))
+    }
+
+    fn report_s(&self, times: f64) -> Duration {
+        self.secs(self.set.settings.workers.report_s * times)
+    }
+
+    fn wall_ms(&self) -> u64 {
+        (self.wall + self.now).as_millis() as u64
+    }
+
+    /// Whether this controller may act for all of them: its view is so recent
+    /// that a cancellation it has not seen still meets its deadline. A worker
+    /// that is answered now loses its tasks `lease_s` later at the latest.
+    fn entitled(&self) -> bool {
+        let w = &self.set.settings.workers;
+        let margin = w.report_s;
+        let limit = self.secs((w.cancel_s - w.lease_s - margin) / DRIFT);
+        self.ses.following() && self.ses.staleness(self.now).is_some_and(|s| s < limit)
+    }
+
+    fn fresh(&self) -> bool {
+        self.ses.staleness(self.now).is_some_and(|s| s < self.report_s(1.0))
+    }
+
+    fn am_leader(&self) -> bool {
+        self.view.lead.as_ref().is_some_and(|l| l.rec.member == self.me && l.rec.incarnation == self.incarnation)
+    }
+
+    fn owns(&self, host: &Versioned<records::HostRec>) -> bool {
+        host.rec.owner == self.me && host.rec.incarnation == self.incarnation
+    }
+
+    fn machine_type(&self, build: &str) -> Option<&MachineType> {
+        self.types.iter().find(|t| t.label == build)
+    }
+
+    fn call(
+        &mut self,
+        target: Target,
+        method: &'static str,
+        path: String,
+        body: Option<Vec<u8>>,
+        timeout: Duration,
+        purpose: Purpose,
+    ) -> CallId {
+        let id = self.next_call;
+        self.next_call += 1;
+        self.calls.insert(id, purpose);
+        self.out.push(Action::Call { id, target, method, path, body, timeout });
+        id
+    }
+
+    /// Sends a transaction; its keys are left alone until it is answered.
+    fn txn(&mut self, txn: Txn, why: Why) {
+        let mut keys: Vec<String> = txn.conds.iter().map(|c| c.key.clone()).collect();
+        keys.retain(|k| !k.starts_with("fq/h/") && k != records::LEAD_KEY);
+        self.writes.spend(txn.ops.len() as f64);
+        self.busy.extend(keys.iter().cloned());
+        let body = crate::protocol::encode(&txn);
+        let timeout = self.report_s(1.0);
+        self.call(Target::State, "POST", store::TXN.into(), Some(body), timeout, Purpose::Txn { txn, why, keys });
+    }
+
+    fn answer(&mut self, id: CallId, purpose: Purpose, result: Result<Reply, NoAnswer>) {
+        match purpose {
+            Purpose::Lease | Purpose::Renew | Purpose::Scan | Purpose::Follow | Purpose::Barrier => {
+                self.sync_answer(purpose, result);
+            }
+            Purpose::Catalog | Purpose::List | Purpose::Rent { .. } => {
+                self.cloud_answer(purpose, result);
+            }
+            Purpose::Release { machines } => self.release_answer(machines, result),
+            Purpose::Push { machine, grant } => self.push_answer(id, &machine, grant, result),
+            Purpose::Txn { txn, why, keys } => {
+                for k in &keys {
+                    self.busy.remove(k);
+                }
+                self.txn_answer(txn, why, result);
+            }
+        }
+    }
+
+    fn txn_answer(&mut self, txn: Txn, why: Why, result: Result<Reply, NoAnswer>) {
+        let ledger = |r: &Reply| crate::protocol::decode::<store::Ledger>(&r.body).ok().map(|l| l.ledger_no);
+        let done = match &result {
+            Ok(r) if r.status == 200 => ledger(r),
+            _ => None,
+        };
+        if let Some(revision) = done {
+            for op in &txn.ops {
+                // Deletes wait for the watch: it could still bring an older put.
+                if let store::Op::Put { key, data, .. } = op {
+                    self.view.put(key, data, revision);
+                }
+            }
+            self.dirty = true;
+        }
+        let status = result.as_ref().map_or(0, |r| r.status);
+        if done.is_none() {
+            tracing::debug!(status, ?why, "transaction not carried out");
+        }
+        match why {
+            Why::Accept(uid) => {
+                let beaten = result.ok().filter(|r| r.status == 409).and_then(|r| ledger(&r));
+                self.accept_answer(&uid, done.is_some(), status, beaten);
+            }
+            Why::Withdraw(uid) => self.withdraw_answer(&uid, done.is_some(), status),
+            Why::Work(machines) => {
+                self.dirty = true;
+                if done.is_some() {
+                    for m in machines {
+                        self.push(&m);
+                    }
+                }
+            }
+            Why::Lead => {
+                if done.is_some() {
+                    let term = self.view.lead.as_ref().map_or(0, |l| l.rec.term);
+                    self.epoch = 0;
+                    self.charter = 0;
+                    self.list_at = None;
+                    tracing::info!(term, member = %self.me, "took the lead");
+                }
+            }
+            Why::Other => {}
+        }
+        self.view_changed();
+    }
+
+    /// What waits for the view to move is looked at again.
+    fn view_changed(&mut self) {
+        self.retry_held();
+        self.answer_queries();
+    }
+}
+
+/// Steady clocks of two machines may differ by this factor at most: each may
+/// run 0.05% fast, doubled for rounding.
+const DRIFT: f64 = 1.001;
--- /dev/null
+++ b/src/controller/perches.rs
@@ -0,0 +1,365 @@
+//! The machines of this controller's block: their reports, the orders they
+//! get, and giving up those that fell silent.
+
+use super::*;
+use crate::bookkeeping::Placements;
+use crate::protocol::cloud::{RELEASE, Release};
+use crate::protocol::encode;
+use crate::protocol::worker::{Answer, Cause, Push, Redirect, TaskState};
+
+impl Controller {
+    /// A report; `until` is set when it waited for a grant already.
+    pub(super) fn report(&mut self, conn: ConnId, report: Report, until: Option<Instant>) {
+        self.heard.insert(report.machine.clone(), self.now);
+        if !self.entitled() {
+            return self.refuse(conn, 503, "not in touch with the state service");
+        }
+        let leader = self.leader_name();
+        let Some(host) = self.view.hosts.get(&report.machine) else {
+            if leader.as_deref() == Some(self.me.as_str()) {
+                self.enrol(&report);
+                return self.hold(conn, report, until);
+            }
+            return self.redirect(conn, leader.as_deref());
+        };
+        if !self.owns(host) {
+            if self.view.owned(&host.rec) {
+                let owner = host.rec.owner.clone();
+                return self.redirect(conn, Some(&owner));
+            }
+            if leader.as_deref() == Some(self.me.as_str()) {
+                return self.hold(conn, report, until);
+            }
+            return self.redirect(conn, leader.as_deref());
+        }
+        // Our view must hold all that earlier owners stored about the machine.
+        if self.view.revision < host.version {
+            return self.hold(conn, report, until);
+        }
+        self.adopt();
+        let name = report.machine.clone();
+        let now = self.now;
+        let Some(m) = self.machines.get_mut(&name) else {
+            return self.refuse(conn, 503, "not granted yet");
+        };
+        if !m.take(&report) {
+            return self.refuse(conn, 503, "an older report");
+        }
+        if !m.outrank() {
+            return self.refuse(conn, 503, "the worker listens to somebody else");
+        }
+        m.heard_at = Some(now);
+        self.look(&name);
+        let (wanted, kept) = self.wanted(&name);
+        let Some(m) = self.machines.get_mut(&name) else { return };
+        let orders = m.orders(&wanted, &kept);
+        m.answered_at = Some(now);
+        let body = encode(&Answer { warrant: m.token(), orders: &orders });
+        self.respond(conn, 200, body);
+        self.dirty = true;
+    }
+
+    fn leader_name(&self) -> Option<String> {
+        let lead = self.view.lead.as_ref()?;
+        self.view.is_live(&lead.rec.member, lead.rec.incarnation).then(|| lead.rec.member.clone())
+    }
+
+    fn hold(&mut self, conn: ConnId, report: Report, until: Option<Instant>) {
+        let until = until.unwrap_or(self.now + self.report_s(0.75));
+        self.held.push(HeldReport { conn, report, until });
+    }
+
+    pub(super) fn retry_held(&mut self) {
+        for h in std::mem::take(&mut self.held) {
+            if h.until <= self.now {
+                self.refuse(h.conn, 503, "no owner yet");
+            } else {
+                self.report(h.conn, h.report, Some(h.until));
+            }
+        }
+    }
+
+    fn redirect(&mut self, conn: ConnId, to: Option<&str>) {
+        let harbor = to.filter(|t| *t != self.me);
+        self.respond(conn, 421, encode(&Redirect { harbor }));
+    }
+
+    /// Brings the machines in memory in line with the grants in the view.
+    pub(super) fn adopt(&mut self) {
+        let mut lost = Vec::new();
+        for name in self.machines.keys() {
+            if !self.view.hosts.get(name).is_some_and(|h| self.owns(h)) {
+                lost.push(name.clone());
+            }
+        }
+        for name in lost {
+            tracing::debug!(machine = %name, "machine left the block");
+            self.machines.remove(&name);
+        }
+        let now = self.now;
+        for (name, h) in &self.view.hosts {
+            if h.rec.owner != self.me || h.rec.incarnation != self.incarnation {
+                continue;
+            }
+            match self.machines.get_mut(name) {
+                // The same grant with another mark on it keeps its counter.
+                Some(m) if (m.term, m.epoch) == (h.rec.term, h.rec.epoch) => m.grant = h.version,
+                _ => {
+                    let mut m = Machine::new(h.version, h.rec.term, h.rec.epoch, now);
+                    for (job, _) in self.view.placed.get(name).into_iter().flat_map(|p| p.keys()) {
+                        if let Some(j) = self.view.jobs.get(job)
+                            && !m.images.contains(&j.spec.bundle)
+                        {
+                            m.images.push(j.spec.bundle.clone());
+                        }
+                    }
+                    self.machines.insert(name.clone(), m);
+                }
+            }
+        }
+    }
+
+    /// What shall run on the machine, and all that is placed there.
+    fn wanted(&self, name: &str) -> (Placements, Placements) {
+        let kept = self.view.placed.get(name).cloned().unwrap_or_default();
+        let live = |job: &str| self.view.jobs.get(job).is_some_and(|j| !j.withdrawn());
+        let mut wanted = kept.clone();
+        wanted.retain(|(job, _), _| live(job));
+        (wanted, kept)
+    }
+
+    /// Works out what the newest report says of the tasks placed there.
+    fn look(&mut self, name: &str) {
+        let now = self.now;
+        let size = self.view.chunk_size;
+        let (wanted, kept) = self.wanted(name);
+        let Some(m) = self.machines.get_mut(name) else { return };
+        let mut freed = false;
+        for s in &m.tasks {
+            let (job, index) = (&s.task.job, s.task.index);
+            let key = (job.clone(), index);
+            let Some(j) = self.view.jobs.get(job) else { continue };
+            if s.state == TaskState::Running && m.images.last() != Some(&j.spec.bundle) {
+                m.images.retain(|i| *i != j.spec.bundle);
+                m.images.push(j.spec.bundle.clone());
+            }
+            if s.state != TaskState::Exited {
+                continue;
+            }
+            let change = self.changes.entry(job.clone()).or_default();
+            let counts = index < j.spec.parcels && !j.is_done(index, size) && !j.withdrawn();
+            if s.cause == Some(Cause::Done) && counts {
+                freed |= change.done.insert(index);
+                m.errors = 0;
+            }
+            if kept.get(&key) == Some(&s.attempt)
+                && (s.cause != Some(Cause::Done) || j.withdrawn())
+                && change.clear.insert((index, s.attempt))
+            {
+                freed = true;
+                if s.cause == Some(Cause::Error) {
+                    m.errors += 1;
+                    let p = self.patience.entry(job.clone()).or_default();
+                    p.failures += 1;
+                    let pause = (p.failures / 4).min(6);
+                    p.not_before =
+                        now + Duration::from_secs_f64(self.set.settings.workers.report_s) * ((1 << pause) - 1);
+                }
+                tracing::debug!(machine = %name, task = %s.task, cause = ?s.cause, "task ended without a result");
+            }
+        }
+        if m.confirmed() {
+            for ((job, index), attempt) in &kept {
+                let unwanted = !wanted.contains_key(&(job.clone(), *index));
+                if unwanted && m.find(job, *index, *attempt).is_none() {
+                    self.changes.entry(job.clone()).or_default().clear.insert((*index, *attempt));
+                    freed = true;
+                }
+            }
+        }
+        if m.errors >= 3 {
+            // Every task fails here: nothing new for a while, longer each time.
+            let pause = Duration::from_secs_f64(self.set.settings.workers.lease_s);
+            tracing::info!(machine = %name, errors = m.errors, "machine is quarantined");
+            m.shut_until = now + pause;
+            m.errors = 2; // one more failure after the pause shuts it again
+        }
+        self.dirty |= freed;
+    }
+
+    /// Sends starts and kills straight to the worker, where that is safe.
+    pub(super) fn push(&mut self, name: &str) {
+        if !self.entitled() || !self.fresh() {
+            return;
+        }
+        let (wanted, kept) = self.wanted(name);
+        let silent = self.report_s(2.0);
+        let Some(host) = self.view.hosts.get(name).filter(|h| self.view.revision >= h.version) else {
+            return;
+        };
+        let Ok(addr) = host.rec.addr.parse() else { return };
+        let Some(m) = self.machines.get_mut(name) else { return };
+        if m.heard_at.is_none_or(|t| self.now.saturating_sub(t) > silent) {
+            return;
+        }
+        let orders = m.orders(&wanted, &kept);
+        let orders = m.to_push(orders);
+        if orders.is_empty() {
+            return;
+        }
+        let body = encode(&Push { warrant: m.token(), shift: m.at.0, orders: &orders });
+        let grant = m.epoch;
+        let timeout = self.report_s(1.0);
+        let purpose = Purpose::Push { machine: name.to_string(), grant };
+        let id = self.call(Target::Worker(addr), "POST", "/commands".into(), Some(body), timeout, purpose);
+        if let Some(m) = self.machines.get_mut(name) {
+            m.push = Some(id);
+        }
+    }
+
+    pub(super) fn push_answer(&mut self, id: CallId, name: &str, grant: u64, result: Result<Reply, NoAnswer>) {
+        let Some(m) = self.machines.get_mut(name) else { return };
+        if m.push != Some(id) || m.epoch != grant {
+            return;
+        }
+        let report = match result {
+            Ok(r) if r.status == 200 || r.status == 409 => crate::protocol::decode::<Report>(&r.body).ok(),
+            _ => None,
+        };
+        match report {
+            Some(report) if report.machine == name => {
+                m.push = None;
+                m.take(&report);
+                self.look(name);
+            }
+            _ => {
+                tracing::debug!(machine = %name, "pushed orders got no answer");
+                m.push_lost();
+            }
+        }
+    }
+
+    pub(super) fn perches_tick(&mut self) {
+        self.adopt();
+        self.retry_held();
+        if !self.fresh() {
+            return;
+        }
+        self.release_silent();
+        self.clear_empty();
+    }
+
+    /// A machine that does not report is released: that alone proves at once
+    /// that its tasks are gone. Guards against returning a healthy fleet when
+    /// it is we who are cut off: nobody else hears the machine either, we hear
+    /// most of the others, and only a share of the block goes per lease time.
+    fn release_silent(&mut self) {
+        let now = self.now;
+        let w = &self.set.settings.workers;
+        let limit = self.report_s(self.set.operator.silent_reports);
+        let block = self.machines.len() as f64;
+        let cap = (block / 4.0).max(1.0);
+        let dt = now.saturating_sub(self.release_at).as_secs_f64();
+        self.release_tokens = (self.release_tokens + dt * cap / w.lease_s).min(cap);
+        self.release_at = now;
+        let recent = self.report_s(2.5);
+        let mut silent = Vec::new();
+        let mut heard = 0;
+        for (name, m) in &self.machines {
+            let last = m.heard_at.unwrap_or(m.owned_since).max(m.owned_since);
+            if m.heard_at.is_some_and(|t| now.saturating_sub(t) < recent) {
+                heard += 1;
+            }
+            let drained = self.view.hosts.get(name).is_some_and(|h| h.rec.drain)
+                && m.confirmed()
+                && m.tasks.is_empty()
+                && !self.view.placed.contains_key(name);
+            if drained && !m.releasing {
+                silent.push((name.clone(), true));
+            } else if now.saturating_sub(last) > limit && !m.releasing && !self.peers_hear(name) {
+                silent.push((name.clone(), false));
+            }
+        }
+        for (name, drained) in silent {
+            if !drained {
+                if heard * 2 < self.machines.len() && self.machines.len() > 1 || self.release_tokens < 1.0 {
+                    continue;
+                }
+                self.release_tokens -= 1.0;
+            }
+            if !self.cloud.has(now, 1.0) {
+                return;
+            }
+            tracing::info!(machine = %name, reason = if drained { "drained" } else { "silent" }, "machine is returned");
+            if let Some(m) = self.machines.get_mut(&name) {
+                m.releasing = true;
+            }
+            self.release(vec![name]);
+        }
+    }
+
+    fn peers_hear(&self, machine: &str) -> bool {
+        let limit = self.report_s(3.0).as_millis() as u64;
+        self.peers.values().any(|p| {
+            let since = self.now.saturating_sub(p.at).as_millis() as u64;
+            p.beat.heard.iter().any(|(m, age)| m == machine && age + since < limit)
+        })
+    }
+
+    pub(super) fn release(&mut self, machines: Vec<String>) {
+        self.cloud.spend(1.0);
+        self.releasing.extend(machines.iter().cloned());
+        let body = encode(&Release { machines: &machines });
+        let timeout = self.report_s(2.0);
+        self.call(Target::Cloud, "POST", RELEASE.into(), Some(body), timeout, Purpose::Release { machines });
+    }
+
+    pub(super) fn release_answer(&mut self, machines: Vec<String>, result: Result<Reply, NoAnswer>) {
+        let gone = result.is_ok_and(|r| r.status == 200);
+        for name in machines {
+            self.releasing.remove(&name);
+            if gone {
+                self.rented.remove(&name);
+                self.gone.insert(name);
+            } else if let Some(m) = self.machines.get_mut(&name) {
+                m.releasing = false;
+            }
+        }
+    }
+
+    /// Places on machines that are proved empty are given up; a machine that
+    /// was released leaves the fleet with the last of them.
+    fn clear_empty(&mut self) {
+        let w = &self.set.settings.workers;
+        let lease = self.secs(w.lease_s * DRIFT + w.report_s / 2.0);
+        let cancel = self.secs(w.cancel_s * DRIFT + w.report_s / 2.0);
+        let mut bare = Vec::new();
+        for (name, m) in &self.machines {
+            let gone = self.gone.contains(name);
+            if !gone && !m.lapsed(self.now, lease, cancel) {
+                continue;
+            }
+            match self.view.placed.get(name) {
+                Some(placed) => {
+                    for ((job, index), attempt) in placed {
+                        self.changes.entry(job.clone()).or_default().clear.insert((*index, *attempt));
+                    }
+                }
+                None if gone => bare.push(name.clone()),
+                None => {}
+            }
+        }
+        for name in bare {
+            let key = records::host_key(&name);
+            let Some(h) = self.view.hosts.get(&name) else { continue };
+            if h.version > self.view.revision || self.busy.contains(&key) || !self.writes.has(self.now, 1.0) {
+                continue;
+            }
+            let txn = Txn {
+                conds: vec![store::Cond { key: key.clone(), entry_no: h.version }],
+                ops: vec![store::Op::Delete { key }],
+            };
+            self.txn_keyed(txn, Why::Other);
+        }
+    }
+}
--- /dev/null
+++ b/src/controller/sync.rs
@@ -0,0 +1,203 @@
+//! Keeping in step with the state service: lease, load, watch, barriers.
+
+use super::*;
+use crate::coordination::session::Load;
+use crate::protocol::decode;
+use crate::protocol::store::{Cond, Followed, Lease, LeaseRequest, Ledger, Op, Rows};
+
+impl Controller {
+    pub(super) fn sync_tick(&mut self) {
+        let now = self.now;
+        let ttl = self.ses.ttl;
+        if !self.ses.lease_busy && now >= self.ses.lease_next {
+            self.ses.lease_busy = true;
+            self.ses.lease_next = now + ttl / 4;
+            match self.ses.lease {
+                Some(id) => {
+                    self.call(Target::State, "POST", store::renew_path(id), None, ttl / 4, Purpose::Renew);
+                }
+                None => {
+                    let body = crate::protocol::encode(&LeaseRequest { ttl_ms: ttl.as_millis() as u64 });
+                    self.call(Target::State, "POST", store::LEASES.into(), Some(body), ttl / 2, Purpose::Lease);
+                }
+            }
+        }
+        match self.ses.load {
+            Load::Reading => {
+                if !self.ses.scan_busy && now >= self.ses.scan_next {
+                    self.ses.scan_busy = true;
+                    self.ses.scan_next = now + self.ses.gap;
+                    let path = store::scan_path(records::PREFIX, &self.ses.scan_after);
+                    self.call(Target::State, "GET", path, None, ttl, Purpose::Scan);
+                }
+            }
+            Load::Following => {
+                self.follow_tick();
+                self.member_tick();
+                let due = self.queries.iter().any(|q| q.stage == Stage::Queued)
+                    || self.ses.staleness(now).is_none_or(|s| s > self.report_s(0.25));
+                if due && !self.ses.barrier_busy && now >= self.ses.barrier_next {
+                    self.ses.barrier_busy = true;
+                    self.ses.barrier_next = now + self.ses.gap;
+                    for q in &mut self.queries {
+                        if q.stage == Stage::Queued {
+                            q.stage = Stage::Asked;
+                        }
+                    }
+                    self.ses.barrier_sent = now;
+                    let path = store::key_path(records::BARRIER_KEY);
+                    let timeout = self.report_s(0.5);
+                    self.call(Target::State, "GET", path, None, timeout, Purpose::Barrier);
+                }
+            }
+        }
+    }
+
+    fn follow_tick(&mut self) {
+        if self.ses.follow_busy || self.now < self.ses.follow_next {
+            return;
+        }
+        self.ses.follow_busy = true;
+        self.ses.follow_next = self.now + self.ses.gap;
+        let hold = self.report_s(2.0);
+        let path = store::follow_path(records::PREFIX, self.view.revision, hold.as_millis() as u64);
+        self.call(Target::State, "GET", path, None, hold * 2, Purpose::Follow);
+    }
+
+    /// Keeps this incarnation's member record on the lease.
+    fn member_tick(&mut self) {
+        let Some(lease) = self.ses.lease else { return };
+        let key = records::member_key(&self.me);
+        if self.view.is_live(&self.me, self.incarnation) || self.busy.contains(&key) {
+            return;
+        }
+        if !self.writes.has(self.now, 1.0) {
+            return;
+        }
+        let version = self.view.members.get(&self.me).map_or(0, |m| m.version);
+        let rec = records::MemberRec { incarnation: self.incarnation };
+        let txn = Txn {
+            conds: vec![Cond { key: key.clone(), entry_no: version }],
+            ops: vec![Op::Put { key, data: records::to_value(&rec), lease: Some(lease) }],
+        };
+        self.txn(txn, Why::Other);
+    }
+
+    pub(super) fn sync_answer(&mut self, purpose: Purpose, result: Result<Reply, NoAnswer>) {
+        let now = self.now;
+        match purpose {
+            Purpose::Lease => {
+                self.ses.lease_busy = false;
+                if let Ok(r) = result
+                    && r.status == 200
+                    && let Ok(l) = decode::<Lease>(&r.body)
+                {
+                    self.ses.lease = Some(l.id);
+                }
+            }
+            Purpose::Renew => {
+                self.ses.lease_busy = false;
+                if result.is_ok_and(|r| r.status == 404) {
+                    tracing::info!("lease at the state service was lost");
+                    self.ses.lease = None;
+                    self.ses.lease_next = now;
+                }
+            }
+            Purpose::Scan => {
+                self.ses.scan_busy = false;
+                if let Ok(r) = result
+                    && r.status == 200
+                    && let Ok(rows) = decode::<Rows>(&r.body)
+                {
+                    self.scanned(rows);
+                }
+            }
+            Purpose::Follow => {
+                self.ses.follow_busy = false;
+                match result {
+                    Ok(r) if r.status == 200 => match decode::<Followed>(&r.body) {
+                        Ok(f) => self.followed(f),
+                        Err(_) => self.reload(),
+                    },
+                    Ok(r) if r.status == 410 => self.reload(),
+                    Ok(_) => self.ses.follow_next = now + self.ses.gap * 4,
+                    Err(NoAnswer) => {}
+                }
+            }
+            Purpose::Barrier => {
+                self.ses.barrier_busy = false;
+                let ledger = match result {
+                    Ok(r) if r.status == 404 => decode::<Ledger>(&r.body).ok(),
+                    _ => None,
+                };
+                for q in self.queries.iter_mut().filter(|q| q.stage == Stage::Asked) {
+                    match &ledger {
+                        Some(l) => q.stage = Stage::Need(l.ledger_no),
+                        None => q.until = now,
+                    }
+                }
+                match ledger {
+                    Some(l) => {
+                        self.ses.barriers.push((l.ledger_no, self.ses.barrier_sent));
+                        self.ses.reached(self.view.revision);
+                    }
+                    None => self.ses.barrier_next = now + self.ses.gap * 4,
+                }
+                self.answer_queries();
+            }
+            _ => {}
+        }
+    }
+
+    fn reload(&mut self) {
+        tracing::info!("watch fell behind, reading all keys again");
+        self.ses.restart_load(self.now);
+    }
+
+    fn scanned(&mut self, rows: Rows) {
+        if self.ses.scan_revision.is_none() {
+            self.scan = View::new(self.view.chunk_size);
+            self.ses.scan_revision = Some(rows.ledger_no);
+        }
+        for row in &rows.rows {
+            self.scan.put(&row.key, &row.data, row.entry_no);
+        }
+        if let Some(last) = rows.rows.last()
+            && rows.truncated
+        {
+            self.ses.scan_after = last.key.clone();
+            return;
+        }
+        // Changes during the paging come again from the watch.
+        let mut view = std::mem::take(&mut self.scan);
+        view.revision = self.ses.scan_revision.unwrap_or(0);
+        self.view = view;
+        self.ses.load = Load::Following;
+        self.dirty = true;
+        tracing::info!(
+            revision = self.view.revision,
+            jobs = self.view.jobs.len(),
+            machines = self.view.hosts.len(),
+            "state loaded"
+        );
+        self.view_changed();
+    }
+
+    fn followed(&mut self, f: Followed) {
+        if !self.ses.following() {
+            return;
+        }
+        for n in &f.news {
+            if let (Some(key), Some(data)) = (&n.put, &n.data) {
+                self.view.put(key, data, n.entry_no);
+            }
+            if let Some(key) = &n.delete {
+                self.view.delete(key, n.entry_no);
+            }
+        }
+        self.dirty |= !f.news.is_empty();
+        self.view.revision = self.view.revision.max(f.ledger_no);
+        self.ses.reached(self.view.revision);
+        self.view_changed();
+    }
+}
--- /dev/null
+++ b/src/controller/work.rs
@@ -0,0 +1,282 @@
+//! Jobs leased to this controller: placing their waiting tasks, and writing
+//! down starts and exits. A start is sent only once its place is in the store.
+
+use super::*;
+use crate::bookkeeping::Job;
+use crate::bookkeeping::records::{ChunkRec, Place, Share, add_to_ranges, count_ranges, in_ranges};
+use crate::coordination::blocks;
+use crate::placement::{Room, Rules, Start, Waiting, plan};
+use crate::protocol::store::{Cond, Op};
+use crate::protocol::user::{Form, JobSpec, Status};
+use crate::settings::Team;
+
+/// Bytes of one transaction that may go to chunk records, as a share of the limit.
+const CHUNK_SHARE: f64 = 0.75;
+
+impl Controller {
+    pub(super) fn work_tick(&mut self) {
+        if !self.changes.is_empty() {
+            self.dirty = true;
+        }
+        let view = &self.view;
+        self.patience.retain(|uid, _| view.jobs.contains_key(uid));
+    }
+
+    /// Writes exits down and starts what fits.
+    pub(super) fn schedule(&mut self) {
+        if !self.ses.following() || !self.entitled() {
+            return;
+        }
+        self.adopt();
+        let starts = if self.fresh() { self.plan_starts() } else { Vec::new() };
+        let mut by_job: BTreeMap<String, Vec<Start>> = BTreeMap::new();
+        for s in starts {
+            by_job.entry(s.uid.clone()).or_default().push(s);
+        }
+        let uids: BTreeSet<String> = by_job.keys().chain(self.changes.keys()).cloned().collect();
+        for uid in uids {
+            let starts = by_job.remove(&uid).unwrap_or_default();
+            self.write_job(&uid, &starts);
+        }
+    }
+
+    /// One transaction for one job: exits seen and starts planned.
+    fn write_job(&mut self, uid: &str, starts: &[Start]) {
+        let Some(job) = self.view.jobs.get(uid) else {
+            self.changes.remove(uid);
+            return;
+        };
+        let key = records::job_key(uid);
+        if self.busy.contains(&key) || !self.writes.has(self.now, 2.0) {
+            return;
+        }
+        let size = self.view.chunk_size;
+        let change = self.changes.remove(uid).unwrap_or_default();
+        let mut machines: BTreeSet<String> = BTreeSet::new();
+        let mut chunks: BTreeMap<u32, ChunkRec> = BTreeMap::new();
+        let mine = |m: &str| self.view.hosts.get(m).is_some_and(|h| self.owns(h) && h.version <= self.view.revision);
+        for index in &change.done {
+            if job.is_done(*index, size) || job.withdrawn() {
+                continue;
+            }
+            let rec = draft(&mut chunks, job, index / size);
+            add_to_ranges(&mut rec.done, *index);
+            rec.on.retain(|p| p.index != *index);
+        }
+        for (index, attempt) in &change.clear {
+            let Some(p) = job.place(*index, size).filter(|p| p.attempt == *attempt && mine(&p.machine)) else {
+                continue;
+            };
+            machines.insert(p.machine.clone());
+            let rec = draft(&mut chunks, job, index / size);
+            rec.on.retain(|p| (p.index, p.attempt) != (*index, *attempt));
+        }
+        let attempt = job.chunks.values().map(|c| c.rec.tries).max().unwrap_or(0) + 1;
+        let mut started = BTreeSet::new();
+        for s in starts {
+            if job.withdrawn() || !mine(&s.machine) || job.is_done(s.index, size) || job.place(s.index, size).is_some()
+            {
+                continue;
+            }
+            let rec = draft(&mut chunks, job, s.index / size);
+            if in_ranges(&rec.done, s.index) {
+                continue;
+            }
+            rec.on.push(Place { index: s.index, machine: s.machine.clone(), attempt });
+            rec.tries = attempt;
+            machines.insert(s.machine.clone());
+            started.insert(s.machine.clone());
+        }
+        if chunks.is_empty() {
+            return;
+        }
+        let st = &self.set.settings.state;
+        let most = ((64.0 * CHUNK_SHARE / st.value_kb) as usize).clamp(1, st.txn_ops.saturating_sub(2).max(1));
+        if chunks.len() > most {
+            if job.spec.form == Form::Ensemble {
+                return; // all or nothing, and all does not fit
+            }
+            chunks = chunks.into_iter().take(most).collect();
+        }
+        let mut txn = Txn::default();
+        txn.conds.push(Cond { key: key.clone(), entry_no: job.rec.version });
+        for m in &machines {
+            let version = self.view.hosts.get(m).map_or(0, |h| h.version);
+            txn.conds.push(Cond { key: records::host_key(m), entry_no: version });
+        }
+        // Zones are counted over the whole job, so all of it must be as seen.
+        let whole = job.spec.together || job.spec.apart;
+        for (n, c) in &job.chunks {
+            if whole && !chunks.contains_key(n) {
+                txn.conds.push(Cond { key: records::chunk_key(uid, *n), entry_no: c.version });
+            }
+        }
+        let team = self.set.settings.teams.iter().find(|t| t.name == job.spec.desk);
+        if !started.is_empty() && team.is_some_and(limited) {
+            let key = records::team_key(&job.spec.desk);
+            if self.busy.contains(&key) {
+                return; // exits are seen again in the next report
+            }
+            let version = self.view.teams.get(&job.spec.desk).copied().unwrap_or(0);
+            txn.conds.push(Cond { key: key.clone(), entry_no: version });
+            txn.ops.push(Op::Put { key, data: records::to_value(&self.next_call), lease: None });
+        }
+        let others: u32 =
+            job.chunks.iter().filter(|(n, _)| !chunks.contains_key(n)).map(|(_, c)| count_ranges(&c.rec.done)).sum();
+        let done = others + chunks.values().map(|c| count_ranges(&c.done)).sum::<u32>();
+        for (n, rec) in &chunks {
+            let key = records::chunk_key(uid, *n);
+            let version = job.chunks.get(n).map_or(0, |c| c.version);
+            txn.conds.push(Cond { key: key.clone(), entry_no: version });
+            if done < job.spec.parcels {
+                txn.ops.push(Op::Put { key, data: records::to_value(rec), lease: None });
+            }
+        }
+        if done >= job.spec.parcels {
+            txn.ops.push(end_op(uid, Status::Done, job.spec.parcels));
+            let keys = job.chunks.keys().map(|n| records::chunk_key(uid, *n));
+            txn.ops.extend(keys.take(st.txn_ops - 1).map(|key| Op::Delete { key }));
+        }
+        self.txn(txn, Why::Work(started.into_iter().collect()));
+    }
+
+    /// Rooms on this controller's machines, or on everyone's with their owners.
+    pub(super) fn rooms(&self, everyone: bool) -> Vec<(String, Room)> {
+        let silent = self.report_s(2.5);
+        let mut rooms = Vec::new();
+        for (name, h) in &self.view.hosts {
+            let mine = self.owns(h);
+            let Some(t) = self.machine_type(&h.rec.build) else { continue };
+            if h.rec.drain || (!mine && !everyone) || !self.view.owned(&h.rec) {
+                continue;
+            }
+            let mut room = Room::empty(name, t, &h.rec.site, h.rec.spot);
+            if mine {
+                let Some(m) = self.machines.get(name) else { continue };
+                let heard = m.heard_at.is_some_and(|t| self.now.saturating_sub(t) < silent);
+                if !heard || m.recall_s.is_some() || m.releasing || m.shut_until > self.now || m.warrant != m.token() {
+                    continue;
+                }
+                room.images = m.images.iter().cloned().collect();
+                // What runs there though it should not takes room as well.
+                for s in &m.tasks {
+                    let placed = self.view.placed.get(name);
+                    let known = placed.is_some_and(|p| p.contains_key(&(s.task.job.clone(), s.task.index)));
+                    if !known && s.state != crate::protocol::worker::TaskState::Exited {
+                        match self.view.jobs.get(&s.task.job) {
+                            Some(j) => room.take(&j.spec, 1),
+                            None => room.cores = 0.0,
+                        }
+                    }
+                }
+            }
+            for (job, _) in self.view.placed.get(name).into_iter().flat_map(|p| p.keys()) {
+                if let Some(j) = self.view.jobs.get(job) {
+                    room.take(&j.spec, 1);
+                    room.images.insert(j.spec.bundle.clone());
+                }
+            }
+            rooms.push((h.rec.owner.clone(), room));
+        }
+        rooms
+    }
+
+    /// What is left of a team's limit, in CPUs and GPUs. Places count until
+    /// it is proved that the task is gone, on unreachable machines too.
+    fn allowance(&self, team: &Team) -> (f64, f64) {
+        let mut used = (0.0, 0.0);
+        for j in self.view.jobs.values().filter(|j| j.spec.desk == team.name) {
+            used.0 += j.spec.cores * f64::from(j.placed);
+            used.1 += j.spec.gpus * f64::from(j.placed);
+        }
+        let left = |max: f64, used: f64| if max > 0.0 { max - used } else { f64::INFINITY };
+        (left(team.cpus_max, used.0), left(team.gpus_max, used.1))
+    }
+
+    fn plan_starts(&mut self) -> Vec<Start> {
+        let now = self.now;
+        let size = self.view.chunk_size;
+        let mut allowances: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+        for t in self.set.settings.teams.iter().filter(|t| limited(t)) {
+            allowances.insert(&t.name, self.allowance(t));
+        }
+        let mut waiting: Vec<Waiting> = Vec::new();
+        for (uid, job) in &self.view.jobs {
+            let mine = |i: u32| job.rec.rec.shares.iter().any(|s| s.member == self.me && (s.from..=s.to).contains(&i));
+            let all = job.waiting(size);
+            let patience = self.patience.entry(uid.clone()).or_default();
+            if all.is_empty() {
+                patience.waiting_since = None;
+                continue;
+            }
+            let since = *patience.waiting_since.get_or_insert(now);
+            if patience.not_before > now || self.busy.contains(&records::job_key(uid)) {
+                continue;
+            }
+            let whole = all.len() as u32 == job.spec.parcels;
+            if job.spec.form == Form::Ensemble && !whole {
+                continue;
+            }
+            let mut tasks: Vec<u32> = all.into_iter().filter(|i| mine(*i)).collect();
+            // Exits that are not written yet must not be started over.
+            if let Some(c) = self.changes.get(uid) {
+                tasks.retain(|i| !c.done.contains(i));
+            }
+            if let Some((cpus, gpus)) = allowances.get_mut(job.spec.desk.as_str()) {
+                let n = affordable(&job.spec, *cpus, *gpus, tasks.len());
+                if job.spec.form == Form::Ensemble && n < tasks.len() {
+                    continue;
+                }
+                tasks.truncate(n);
+                *cpus -= job.spec.cores * n as f64;
+                *gpus -= job.spec.gpus * n as f64;
+            }
+            if tasks.is_empty() {
+                continue;
+            }
+            let mut zones: BTreeMap<String, u32> = BTreeMap::new();
+            if job.spec.together || job.spec.apart {
+                for p in job.chunks.values().flat_map(|c| &c.rec.on) {
+                    if let Some(h) = self.view.hosts.get(&p.machine) {
+                        *zones.entry(h.rec.site.clone()).or_default() += 1;
+                    }
+                }
+            }
+            let waited_s = now.saturating_sub(since).as_secs_f64();
+            waiting.push(Waiting { spec: &job.spec, tasks, waited_s, zones });
+        }
+        if waiting.is_empty() {
+            return Vec::new();
+        }
+        let mut rooms: Vec<Room> = self.rooms(false).into_iter().map(|(_, r)| r).collect();
+        // The fullest machines first, so that others stay empty.
+        rooms.sort_by(|a, b| a.cores.total_cmp(&b.cores).then_with(|| a.machine.cmp(&b.machine)));
+        let op = &self.set.operator;
+        let rules = Rules { window: op.window, step_gb: op.step_mb / 1024.0, wait_limit_s: op.wait_limit_s };
+        plan(&mut rooms, &mut waiting, &rules, &mut self.sack)
+    }
+
+    pub(super) fn shares_for(&self, spec: &JobSpec, waits: &[u32]) -> Vec<Share> {
+        let members: Vec<String> = self.view.members.keys().cloned().collect();
+        let whole = spec.form == Form::Ensemble || spec.together || spec.apart;
+        blocks::lease(spec, waits, &members, &self.rooms(true), &self.me, whole)
+    }
+}
+
+fn draft<'a>(chunks: &'a mut BTreeMap<u32, ChunkRec>, job: &Job, n: u32) -> &'a mut ChunkRec {
+    chunks.entry(n).or_insert_with(|| job.chunks.get(&n).map(|c| c.rec.clone()).unwrap_or_default())
+}
+
+fn limited(t: &Team) -> bool {
+    t.cpus_max > 0.0 || t.gpus_max > 0.0
+}
+
+fn affordable(spec: &JobSpec, cpus: f64, gpus: f64, n: usize) -> usize {
+    let times = |left: f64, each: f64| if each > 0.0 { ((left + 1e-9) / each).floor().max(0.0) } else { f64::INFINITY };
+    (times(cpus, spec.cores).min(times(gpus, spec.gpus)) as usize).min(n)
+}
+
+pub(super) fn end_op(uid: &str, status: Status, parcels: u32) -> Op {
+    let rec = records::JobRec { spec: None, end: Some(status), parcels, at_ms: 0, shares: Vec::new() };
+    Op::Put { key: records::job_key(uid), data: records::to_value(&rec), lease: None }
+}
--- /dev/null
+++ b/src/coordination/machine.rs
@@ -0,0 +1,294 @@
+//! One machine of this controller's block: what it last reported, what it was
+//! told, and which orders lead from what is to what is wanted.
+//!
+//! What is wanted are the places in the store. Two proofs matter here:
+//! *absent* (a task that was ordered never arrived, and never will) and
+//! *empty* (the whole machine is). Both are argued in `docs/design.md`.
+
+use super::warrant::Warrant;
+use crate::bookkeeping::Placements;
+use crate::effects::{CallId, Instant};
+use crate::protocol::worker::{Cause, Order, Report, TaskId, TaskState};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Most orders in one message, which keeps it below the body limit.
+const ORDERS_LIMIT: usize = 400;
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Seen {
+    pub task: TaskId,
+    pub attempt: u64,
+    pub state: TaskState,
+    pub cause: Option<Cause>,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    /// Version of the host record under which this state was built.
+    pub grant: u64,
+    pub term: u64,
+    pub epoch: u64,
+    counter: u64,
+    pub owned_since: Instant,
+    /// Newest report: session and sequence.
+    pub at: (u64, u64),
+    /// The highest token the worker says it has seen.
+    pub warrant: u64,
+    pub recall_s: Option<f64>,
+    pub tasks: Vec<Seen>,
+    /// The last report that came from the worker itself, by its own call.
+    pub heard_at: Option<Instant>,
+    pub answered_at: Option<Instant>,
+    /// A pushed message that is not answered yet.
+    pub push: Option<CallId>,
+    /// Starts and kills pushed in this session, not to be pushed again.
+    pushed: BTreeSet<(String, u32, u64, bool)>,
+    pub errors: u32,
+    pub shut_until: Instant,
+    pub idle_since: Option<Instant>,
+    pub images: Vec<String>,
+    pub releasing: bool,
+}
+
+impl Machine {
+    pub fn new(grant: u64, term: u64, epoch: u64, now: Instant) -> Machine {
+        Machine {
+            grant,
+            term,
+            epoch,
+            counter: 0,
+            owned_since: now,
+            at: (0, 0),
+            warrant: 0,
+            recall_s: None,
+            tasks: Vec::new(),
+            heard_at: None,
+            answered_at: None,
+            push: None,
+            pushed: BTreeSet::new(),
+            errors: 0,
+            shut_until: Duration::ZERO,
+            idle_since: None,
+            images: Vec::new(),
+            releasing: false,
+        }
+    }
+
+    /// The token in force for this machine.
+    pub fn token(&self) -> u64 {
+        Warrant::new(self.term, self.epoch, self.counter).0
+    }
+
+    /// The worker listens to nobody else, and to no message of ours that was
+    /// given up on: what it reports is all there is.
+    pub fn confirmed(&self) -> bool {
+        self.warrant == self.token() && self.push.is_none()
+    }
+
+    /// Takes a report in, unless a newer one is known.
+    pub fn take(&mut self, report: &Report) -> bool {
+        let at = (report.shift, report.tally);
+        if at <= self.at {
+            return false;
+        }
+        if report.shift != self.at.0 {
+            self.pushed.clear();
+        }
+        self.at = at;
+        self.warrant = report.warrant;
+        self.recall_s = report.recall_s;
+        self.tasks = report
+            .tasks
+            .iter()
+            .filter_map(|t| {
+                Some(Seen { task: TaskId::parse(&t.parcel)?, attempt: t.attempt, state: t.status, cause: t.cause })
+            })
+            .collect();
+        true
+    }
+
+    /// A push got no answer. It may be carried out at any later time, so the
+    /// token is raised: once the worker has the new one, that push is void.
+    pub fn push_lost(&mut self) {
+        self.push = None;
+        self.counter += 1;
+        self.pushed.clear();
+    }
+
+    /// The worker has seen a token above ours: raise the counter past it where
+    /// that is possible. True if ours is now the higher one.
+    pub fn outrank(&mut self) -> bool {
+        while self.token() < self.warrant {
+            let before = self.token();
+            self.counter += 1;
+            if self.token() == before {
+                return false;
+            }
+            // Only our own raised counter can be ahead within our grant.
+            if Warrant::new(self.term, self.epoch, u64::MAX).0 < self.warrant {
+                return false;
+            }
+        }
+        true
+    }
+
+    pub fn find(&self, job: &str, index: u32, attempt: u64) -> Option<&Seen> {
+        self.tasks.iter().find(|s| s.attempt == attempt && s.task.index == index && s.task.job == job)
+    }
+
+    /// Orders that lead from the last report to what is wanted. `wanted` are
+    /// the tasks that shall run here; `kept` are those whose exit is not in
+    /// the store yet, and which the worker must therefore not forget.
+    pub fn orders(&self, wanted: &Placements, kept: &Placements) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for s in &self.tasks {
+            let key = (s.task.job.clone(), s.task.index);
+            let is = |set: &Placements| set.get(&key) == Some(&s.attempt);
+            let parcel = s.task.to_string();
+            let attempt = s.attempt;
+            if s.state == TaskState::Exited {
+                // Forgetting makes a late `run` start the task again, so it
+                // waits until no such message can be under way.
+                if !is(wanted) && !is(kept) && self.confirmed() {
+                    orders.push(Order::Forget { parcel, attempt });
+                }
+            } else if !is(wanted) {
+                orders.push(Order::Kill { parcel, attempt, wind_down_s: 0.0 });
+            }
+        }
+        for ((job, index), attempt) in wanted {
+            if self.find(job, *index, *attempt).is_none() {
+                orders.push(Order::Run { parcel: format!("{job}/{index}"), attempt: *attempt });
+            }
+        }
+        orders.truncate(ORDERS_LIMIT);
+        orders
+    }
+
+    /// Of `orders`, those worth a push: starts and kills not pushed before.
+    pub fn to_push(&mut self, orders: Vec<Order>) -> Vec<Order> {
+        if self.push.is_some() || !self.confirmed() {
+            return Vec::new();
+        }
+        let mut out = Vec::new();
+        for o in orders {
+            let key = match &o {
+                Order::Run { parcel, attempt } => (parcel, *attempt, true),
+                Order::Kill { parcel, attempt, .. } => (parcel, *attempt, false),
+                Order::Forget { .. } => continue,
+            };
+            let Some(id) = TaskId::parse(key.0) else { continue };
+            if self.pushed.insert((id.job, id.index, key.1, key.2)) {
+                out.push(o);
+            }
+        }
+        out
+    }
+
+    /// Whether everything on the machine has ended because its lease has.
+    /// `lease` and `cancel` carry a margin for drift already. Before the grant
+    /// another controller may have answered the worker, at the latest
+    /// `cancel - lease` after it last saw the store.
+    pub fn lapsed(&self, now: Instant, lease: Duration, cancel: Duration) -> bool {
+        let ours = self.answered_at.map_or(Duration::ZERO, |t| t + lease);
+        now > ours.max(self.owned_since + cancel)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::protocol::worker::TaskReport;
+
+    fn report(at: (u64, u64), warrant: u64, tasks: &[(&str, u64, TaskState)]) -> Report {
+        Report {
+            machine: "host-000001".into(),
+            addr: "10.1.0.1:9000".into(),
+            build: "g8".into(),
+            site: "a".into(),
+            spot: false,
+            shift: at.0,
+            tally: at.1,
+            warrant,
+            recall_s: None,
+            tasks: tasks
+                .iter()
+                .map(|(p, attempt, status)| TaskReport {
+                    parcel: p.to_string(),
+                    attempt: *attempt,
+                    status: *status,
+                    cause: None,
+                    kept: None,
+                })
+                .collect(),
+        }
+    }
+
+    fn places(list: &[(&str, u32, u64)]) -> Placements {
+        list.iter().map(|(j, i, a)| ((j.to_string(), *i), *a)).collect()
+    }
+
+    /// A held-back packet may deliver an old report after a newer one; acting
+    /// on it would kill or restart what has moved on.
+    #[test]
+    fn an_older_report_changes_nothing() {
+        let mut m = Machine::new(1, 1, 1, Duration::ZERO);
+        assert!(m.take(&report((2, 5), 9, &[("run-1/0", 1, TaskState::Running)])));
+        assert!(!m.take(&report((2, 5), 9, &[])));
+        assert!(!m.take(&report((1, 99), 9, &[])));
+        assert_eq!(m.tasks.len(), 1);
+        assert!(m.take(&report((3, 1), 9, &[])));
+    }
+
+    /// A push without an answer may start its task minutes later. Until the
+    /// worker has taken a higher token, nothing may be forgotten or called absent.
+    #[test]
+    fn an_unanswered_push_blocks_forgetting_until_the_token_is_raised() {
+        let mut m = Machine::new(1, 1, 1, Duration::ZERO);
+        let exited = [("run-1/0", 1, TaskState::Exited)];
+        m.take(&report((1, 1), m.token(), &exited));
+        let forget = Order::Forget { parcel: "run-1/0".into(), attempt: 1 };
+        assert_eq!(m.orders(&places(&[]), &places(&[])), vec![forget.clone()]);
+        m.push = Some(7);
+        assert!(m.orders(&places(&[]), &places(&[])).is_empty());
+        let before = m.token();
+        m.push_lost();
+        m.take(&report((1, 2), before, &exited));
+        assert!(m.orders(&places(&[]), &places(&[])).is_empty());
+        m.take(&report((1, 3), m.token(), &exited));
+        assert_eq!(m.orders(&places(&[]), &places(&[])), vec![forget]);
+    }
+
+    /// `done` must be in the store before the worker forgets it.
+    #[test]
+    fn an_exit_that_is_not_stored_is_not_forgotten() {
+        let mut m = Machine::new(1, 1, 1, Duration::ZERO);
+        m.take(&report((1, 1), m.token(), &[("run-1/0", 1, TaskState::Exited)]));
+        let kept = places(&[("run-1", 0, 1)]);
+        assert!(m.orders(&places(&[]), &kept).is_empty());
+        assert!(m.orders(&kept, &places(&[])).is_empty());
+    }
+
+    #[test]
+    fn strangers_are_killed_and_missing_tasks_started() {
+        let mut m = Machine::new(1, 1, 1, Duration::ZERO);
+        m.take(&report((1, 1), m.token(), &[("run-1/0", 1, TaskState::Running)]));
+        let orders = m.orders(&places(&[("run-1", 0, 2)]), &places(&[]));
+        let kill = Order::Kill { parcel: "run-1/0".into(), attempt: 1, wind_down_s: 0.0 };
+        let run = Order::Run { parcel: "run-1/0".into(), attempt: 2 };
+        assert_eq!(orders, vec![kill, run]);
+    }
+
+    /// An earlier owner may be cut off with the worker and still answer it.
+    #[test]
+    fn a_lapse_counts_from_the_grant_too() {
+        let s = Duration::from_secs;
+        let mut m = Machine::new(1, 1, 1, s(100));
+        assert!(!m.lapsed(s(147), s(18), s(48)));
+        assert!(m.lapsed(s(149), s(18), s(48)));
+        m.answered_at = Some(s(140));
+        assert!(!m.lapsed(s(157), s(18), s(48)));
+        assert!(m.lapsed(s(159), s(18), s(48)));
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,7 @@
+//! How the controllers agree: leases and leadership, blocks of machines,
+//! warrants, freshness of reads. State machines without sockets or clocks.
+
+pub mod blocks;
+pub mod machine;
+pub mod session;
+pub mod warrant;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,12 @@
+//! finchquay: a cluster scheduler whose three controllers keep jobs running on
+//! rented machines. `docs/design.md` says how, and why it is safe.
+
+pub mod bookkeeping;
+pub mod controller;
+pub mod coordination;
+pub mod effects;
+pub mod fleet;
+pub mod placement;
+pub mod protocol;
+pub mod settings;
+pub mod transport;
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,245 @@
+//! Where waiting tasks go: pure functions over bookkeeping. The ordinary path
+//! is the knapsack per machine of `knapsack`; what stands beside it is the
+//! first-fit for tasks that waited too long, reservations and gangs.
+
+pub mod knapsack;
+
+use crate::protocol::cloud::MachineType;
+use crate::protocol::user::{Form, JobSpec, Urgency};
+use knapsack::{CPU_STEPS, Group, Knapsack, value};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Free room on one machine.
+#[derive(Debug, Clone)]
+pub struct Room {
+    pub machine: String,
+    pub build: String,
+    pub site: String,
+    pub spot: bool,
+    pub cores: f64,
+    pub gpus: f64,
+    pub mem_gb: f64,
+    pub total_cores: f64,
+    /// Images that are believed to be on the machine.
+    pub images: BTreeSet<String>,
+}
+
+impl Room {
+    pub fn empty(name: &str, t: &MachineType, site: &str, spot: bool) -> Room {
+        Room {
+            machine: name.to_string(),
+            build: t.label.clone(),
+            site: site.to_string(),
+            spot,
+            cores: t.cores,
+            gpus: t.gpus,
+            mem_gb: t.mem_gb,
+            total_cores: t.cores,
+            images: BTreeSet::new(),
+        }
+    }
+
+    /// Type, zone and kind of machine are allowed.
+    pub fn allowed(&self, spec: &JobSpec) -> bool {
+        spec.builds.as_ref().is_none_or(|b| b.contains(&self.build))
+            && spec.site.as_ref().is_none_or(|s| *s == self.site)
+            && (spec.loaners || !self.spot)
+    }
+
+    /// How many tasks of the job there is room for.
+    pub fn fits(&self, spec: &JobSpec) -> u32 {
+        if !self.allowed(spec) {
+            return 0;
+        }
+        let times = |free: f64, need: f64| {
+            if need > 0.0 { ((free + SLACK) / need).floor().max(0.0) } else { f64::INFINITY }
+        };
+        let n = times(self.cores, spec.cores).min(times(self.gpus, spec.gpus)).min(times(self.mem_gb, spec.mem_gb));
+        n.min(f64::from(spec.parcels)) as u32
+    }
+
+    pub fn take(&mut self, spec: &JobSpec, n: u32) {
+        self.cores -= spec.cores * f64::from(n);
+        self.gpus -= spec.gpus * f64::from(n);
+        self.mem_gb -= spec.mem_gb * f64::from(n);
+    }
+}
+
+/// Rounding allowed when amounts are summed and compared.
+const SLACK: f64 = 1e-6;
+
+/// A job's tasks that wait here.
+#[derive(Debug)]
+pub struct Waiting<'a> {
+    pub spec: &'a JobSpec,
+    /// In order; no longer than the window.
+    pub tasks: Vec<u32>,
+    pub waited_s: f64,
+    /// Tasks of the job per zone that are, or may still be, on machines.
+    pub zones: BTreeMap<String, u32>,
+}
+
+impl Waiting<'_> {
+    /// How many more tasks the job may have in this zone.
+    fn zone_room(&self, site: &str) -> u32 {
+        let here = self.zones.get(site).copied().unwrap_or(0);
+        if self.spec.together && self.zones.iter().any(|(z, n)| z != site && *n > 0) {
+            return 0;
+        }
+        if self.spec.apart {
+            return self.spec.parcels.div_ceil(2).saturating_sub(here);
+        }
+        u32::MAX
+    }
+}
+
+/// Knobs of a round.
+#[derive(Debug, Clone)]
+pub struct Rules {
+    pub window: usize,
+    pub step_gb: f64,
+    pub wait_limit_s: f64,
+}
+
+/// One task to start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Start {
+    pub uid: String,
+    pub index: u32,
+    pub machine: String,
+}
+
+/// One round over the machines of this controller's block.
+pub fn plan(rooms: &mut [Room], waiting: &mut [Waiting], rules: &Rules, sack: &mut Knapsack) -> Vec<Start> {
+    let mut starts = Vec::new();
+    waiting.sort_by(|a, b| {
+        (b.spec.urgency, b.waited_s).partial_cmp(&(a.spec.urgency, a.waited_s)).unwrap_or(std::cmp::Ordering::Equal)
+    });
+    let mut reserved = BTreeSet::new();
+    for level in [Urgency::Production, Urgency::Urgent, Urgency::Standard, Urgency::Idle] {
+        let mut jobs: Vec<&mut Waiting> = waiting.iter_mut().filter(|w| w.spec.urgency == level).collect();
+        let mut left = rules.window;
+        for w in &mut jobs {
+            if w.spec.form != Form::Ensemble {
+                w.tasks.truncate(left);
+                left -= w.tasks.len();
+            }
+        }
+        for w in &mut jobs {
+            if w.spec.form == Form::Ensemble {
+                gang(rooms, w, &reserved, &mut starts);
+            } else if w.waited_s >= rules.wait_limit_s {
+                first_fit(rooms, w, &reserved, &mut starts);
+            }
+            if w.waited_s >= rules.wait_limit_s && !w.tasks.is_empty() {
+                reserve(rooms, w, &mut reserved);
+            }
+        }
+        // Machines that hold the image go first, then whatever has room.
+        for local in [true, false] {
+            for room in rooms.iter_mut() {
+                if !reserved.contains(&room.machine) {
+                    fill(room, &mut jobs, local, rules, sack, &mut starts);
+                }
+            }
+        }
+    }
+    starts
+}
+
+fn start(room: &mut Room, w: &mut Waiting, n: u32, starts: &mut Vec<Start>) {
+    room.take(w.spec, n);
+    *w.zones.entry(room.site.clone()).or_default() += n;
+    for index in w.tasks.drain(..n as usize) {
+        starts.push(Start { uid: w.spec.uid.clone(), index, machine: room.machine.clone() });
+    }
+}
+
+fn able(room: &Room, w: &Waiting) -> u32 {
+    room.fits(w.spec).min(w.zone_room(&room.site)).min(w.tasks.len() as u32)
+}
+
+/// The knapsack over one machine's free memory.
+fn fill(
+    room: &mut Room,
+    jobs: &mut [&mut Waiting],
+    local: bool,
+    rules: &Rules,
+    sack: &mut Knapsack,
+    starts: &mut Vec<Start>,
+) {
+    let steps = |gb: f64| ((gb - SLACK) / rules.step_gb).ceil().max(0.0) as u32;
+    let mut groups = Vec::new();
+    for (id, w) in jobs.iter().enumerate() {
+        let count = able(room, w);
+        let here = room.images.contains(&w.spec.bundle);
+        if w.spec.form == Form::Ensemble || count == 0 || (local && !here) {
+            continue;
+        }
+        groups.push(Group {
+            id,
+            count,
+            mem: steps(w.spec.mem_gb),
+            cpu: ((w.spec.cores - SLACK) * CPU_STEPS).ceil().max(0.0) as u32,
+            value: value(w.spec.cores, room.total_cores),
+        });
+    }
+    if groups.is_empty() {
+        return;
+    }
+    let free_mem = ((room.mem_gb + SLACK) / rules.step_gb).floor().max(0.0) as u32;
+    let free_cpu = ((room.cores + SLACK) * CPU_STEPS).floor().max(0.0) as u32;
+    for (id, n) in sack.fill(&groups, free_mem, free_cpu) {
+        // GPUs are no dimension of the table; what does not fit waits.
+        let n = n.min(able(room, jobs[id]));
+        start(room, jobs[id], n, starts);
+    }
+}
+
+fn first_fit(rooms: &mut [Room], w: &mut Waiting, reserved: &BTreeSet<String>, starts: &mut Vec<Start>) {
+    for room in rooms.iter_mut().filter(|r| !reserved.contains(&r.machine)) {
+        let n = able(room, w);
+        if n > 0 {
+            start(room, w, n, starts);
+        }
+    }
+}
+
+/// All tasks of an ensemble, or none.
+fn gang(rooms: &mut [Room], w: &mut Waiting, reserved: &BTreeSet<String>, starts: &mut Vec<Start>) {
+    let mut sites: Vec<Option<String>> = vec![None];
+    if w.spec.together {
+        let all: BTreeSet<String> = rooms.iter().map(|r| r.site.clone()).collect();
+        sites = all.into_iter().map(Some).collect();
+    }
+    for site in sites {
+        let mut trial = rooms.to_vec();
+        let mut tasks = Waiting { spec: w.spec, tasks: w.tasks.clone(), waited_s: w.waited_s, zones: w.zones.clone() };
+        let mut found = Vec::new();
+        for room in trial.iter_mut() {
+            let elsewhere = site.as_ref().is_some_and(|s| *s != room.site);
+            let n = able(room, &tasks);
+            if n > 0 && !elsewhere && !reserved.contains(&room.machine) {
+                start(room, &mut tasks, n, &mut found);
+            }
+        }
+        if tasks.tasks.is_empty() {
+            rooms.clone_from_slice(&trial);
+            w.zones = tasks.zones;
+            w.tasks.clear();
+            starts.extend(found);
+            return;
+        }
+    }
+}
+
+/// Keeps the emptiest machines that could ever hold the job's next task free.
+fn reserve(rooms: &[Room], w: &Waiting, reserved: &mut BTreeSet<String>) {
+    let need = if w.spec.form == Form::Ensemble { w.tasks.len() } else { 1 };
+    let mut able: Vec<&Room> = rooms
+        .iter()
+        .filter(|r| r.allowed(w.spec) && r.total_cores + SLACK >= w.spec.cores && !reserved.contains(&r.machine))
+        .collect();
+    able.sort_by(|a, b| b.cores.total_cmp(&a.cores).then(a.machine.cmp(&b.machine)));
+    reserved.extend(able.iter().take(need).map(|r| r.machine.clone()));
+}
--- /dev/null
+++ b/src/protocol/user.rs
@@ -0,0 +1,144 @@
+//! What users send and get: submissions, queries, withdrawals.
+
+use super::{amount, amount_or_null};
+use serde::{Deserialize, Serialize};
+
+/// Longest name (team, class, image, machine type, zone) that is accepted.
+const NAME_LIMIT: usize = 128;
+/// Most machine types one job may list.
+const BUILDS_LIMIT: usize = 32;
+pub const TASKS_LIMIT: u32 = 100_000;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Form {
+    Batch,
+    Ensemble,
+    Standing,
+}
+
+/// Ordered: a later variant goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Urgency {
+    Idle,
+    Standard,
+    Urgent,
+    Production,
+}
+
+/// A submission, and the part of it that the job record keeps.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    pub uid: String,
+    pub docket: String,
+    pub desk: String,
+    pub form: Form,
+    pub urgency: Urgency,
+    pub parcels: u32,
+    #[serde(deserialize_with = "amount")]
+    pub cores: f64,
+    #[serde(deserialize_with = "amount")]
+    pub gpus: f64,
+    #[serde(deserialize_with = "amount")]
+    pub mem_gb: f64,
+    pub bundle: String,
+    #[serde(deserialize_with = "amount")]
+    pub size_gb: f64,
+    #[serde(default)]
+    pub builds: Option<Vec<String>>,
+    #[serde(default)]
+    pub site: Option<String>,
+    pub together: bool,
+    pub apart: bool,
+    pub loaners: bool,
+    #[serde(deserialize_with = "amount")]
+    pub expected_s: f64,
+    #[serde(deserialize_with = "amount")]
+    pub stamp_every_s: f64,
+    #[serde(deserialize_with = "amount")]
+    pub stamp_s: f64,
+    #[serde(default, deserialize_with = "amount_or_null")]
+    pub due_s: Option<f64>,
+}
+
+impl JobSpec {
+    /// Whether the submission is well formed; says nothing of machine types.
+    pub fn well_formed(&self) -> bool {
+        let amounts = [
+            self.cores,
+            self.gpus,
+            self.mem_gb,
+            self.size_gb,
+            self.expected_s,
+            self.stamp_every_s,
+            self.stamp_s,
+            self.due_s.unwrap_or(0.0),
+        ];
+        let name = |s: &str| !s.is_empty() && s.len() <= NAME_LIMIT;
+        valid_uid(&self.uid)
+            && (1..=TASKS_LIMIT).contains(&self.parcels)
+            && amounts.iter().all(|a| a.is_finite() && *a >= 0.0)
+            && name(&self.docket)
+            && name(&self.desk)
+            && name(&self.bundle)
+            && self.site.as_deref().is_none_or(name)
+            && self.builds.as_ref().is_none_or(|b| b.len() <= BUILDS_LIMIT && b.iter().all(|x| name(x)))
+    }
+}
+
+/// Job ids look like `run-000412`.
+pub fn valid_uid(uid: &str) -> bool {
+    uid.strip_prefix("run-").is_some_and(|d| (1..=18).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Status {
+    Pending,
+    Running,
+    Done,
+    Withdrawn,
+}
+
+#[derive(Debug, Serialize)]
+pub struct JobState<'a> {
+    pub uid: &'a str,
+    pub status: Status,
+    pub done: u32,
+    pub running: u32,
+}
+
+#[derive(Debug, Serialize)]
+pub struct ErrorBody<'a> {
+    pub error: &'a str,
+}
+
+/// What a request of a user, worker or load balancer asks for.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Route<'a> {
+    Submit,
+    Poll(&'a str),
+    Withdraw(&'a str),
+    Health,
+    Report,
+    WrongMethod,
+    Unknown,
+}
+
+pub fn route<'a>(method: &str, path: &'a str) -> Route<'a> {
+    let want = |m: &str, r: Route<'a>| if method == m { r } else { Route::WrongMethod };
+    match path {
+        "/healthz" => want("GET", Route::Health),
+        "/checkin" => want("POST", Route::Report),
+        "/work" => want("POST", Route::Submit),
+        _ => match path.strip_prefix("/work/") {
+            Some(rest) => match rest.strip_suffix("/withdraw") {
+                Some(uid) if !uid.contains('/') => want("POST", Route::Withdraw(uid)),
+                None if !rest.is_empty() && !rest.contains('/') => want("GET", Route::Poll(rest)),
+                _ => Route::Unknown,
+            },
+            None => Route::Unknown,
+        },
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,245 @@
+//! The settings file that the platform hands over (TOML), and the operator's
+//! own settings on top of it (HCL). This module owns reading and judging both;
+//! the rest of the program sees only values that passed.
+
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+/// Why a settings file was refused: one line that names file and field.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    #[error("{file}: cannot be read: {cause}")]
+    Read { file: PathBuf, cause: std::io::Error },
+    #[error("{file}: {what}")]
+    Parse { file: PathBuf, what: String },
+    #[error("{file}: {field}: {what}")]
+    Field { file: PathBuf, field: String, what: String },
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    pub member: String,
+    pub zone: String,
+    pub public_addr: SocketAddr,
+    pub peer_bind: SocketAddr,
+    #[serde(default)]
+    pub others: Vec<Other>,
+    pub outside: Outside,
+    pub settings: Params,
+    /// The operator's own settings; not part of the platform's file.
+    #[serde(skip)]
+    pub operator: Operator,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Other {
+    pub member: String,
+    pub zone: String,
+    pub peer_addr: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Outside {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Params {
+    pub zones: Vec<String>,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub machine_limits: MachineLimits,
+}
+
+/// Guarantee and limit of a team. A limit of 0 means none.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// One aim; kinds and fields this program does not use are ignored.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    pub class: Option<String>,
+    pub within_s: Option<f64>,
+    pub share: Option<f64>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct MachineLimits {
+    pub core_share: f64,
+    pub ram_mb: f64,
+    pub max_connections: usize,
+}
+
+/// What an operator may set in HCL. Every default is a ratio to a figure of
+/// the platform's file, so one file serves deployments of any size.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    /// Seconds a task may wait before it is placed first-fit.
+    pub wait_limit_s: f64,
+    /// Oldest waiting tasks that one knapsack considers.
+    pub window: usize,
+    /// Memory step of the knapsack, in MB.
+    pub step_mb: f64,
+    /// A machine without tasks is returned after this many boot times.
+    pub idle_boots: f64,
+    /// A machine that is not up after this many boot times is replaced.
+    pub late_boots: f64,
+    /// A silent machine is given up after this many report intervals.
+    pub silent_reports: f64,
+    /// Free room kept for services, as a share of what services use.
+    pub spare_share: f64,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Operator {
+            wait_limit_s: 30.0,
+            window: 500,
+            step_mb: 256.0,
+            idle_boots: 2.0,
+            late_boots: 3.0,
+            silent_reports: 4.0,
+            spare_share: 0.15,
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and judges the platform's file and, where given, the operator's.
+    pub fn load(config: &Path, operator: Option<&Path>) -> Result<Settings, SettingsError> {
+        let text = read(config)?;
+        let mut s: Settings = toml::from_str(&text)
+            .map_err(|e| SettingsError::Parse { file: config.into(), what: one_line(&e.to_string()) })?;
+        s.judge(config)?;
+        if let Some(file) = operator {
+            s.operator = hcl::from_str(&read(file)?)
+                .map_err(|e| SettingsError::Parse { file: file.into(), what: one_line(&e.to_string()) })?;
+            s.operator.judge(file)?;
+        }
+        Ok(s)
+    }
+
+    fn judge(&self, file: &Path) -> Result<(), SettingsError> {
+        let p = &self.settings;
+        let positive = [
+            ("settings.workers.report_s", p.workers.report_s),
+            ("settings.workers.lease_s", p.workers.lease_s),
+            ("settings.workers.gang_wait_s", p.workers.gang_wait_s),
+            ("settings.workers.gang_peer_s", p.workers.gang_peer_s),
+            ("settings.state.rps", p.state.rps),
+            ("settings.state.write_rps", p.state.write_rps),
+            ("settings.state.value_kb", p.state.value_kb),
+            ("settings.state.txn_ops", p.state.txn_ops as f64),
+            ("settings.cloud.rps", p.cloud.rps),
+            ("settings.cloud.list_lag_s", p.cloud.list_lag_s),
+            ("settings.machine_limits.core_share", p.machine_limits.core_share),
+            ("settings.machine_limits.ram_mb", p.machine_limits.ram_mb),
+        ];
+        for (field, v) in positive {
+            check(file, field, v.is_finite() && v > 0.0, "must be above 0")?;
+        }
+        check(file, "member", !self.member.is_empty(), "must not be empty")?;
+        check(file, "settings.zones", p.zones.contains(&self.zone), "must list this controller's zone")?;
+        check(
+            file,
+            "settings.workers.cancel_s",
+            p.workers.cancel_s.is_finite() && p.workers.cancel_s > p.workers.lease_s,
+            "must be above lease_s: a cancellation has to outlast a worker's lease",
+        )?;
+        check(
+            file,
+            "settings.machine_limits.max_connections",
+            p.machine_limits.max_connections >= 16,
+            "must be at least 16",
+        )?;
+        for t in &p.teams {
+            let ok = [t.cpus, t.cpus_max, t.gpus, t.gpus_max].iter().all(|v| v.is_finite() && *v >= 0.0);
+            check(file, &format!("settings.teams.{}", t.name), ok, "must not be negative")?;
+        }
+        for o in &self.others {
+            check(file, "others.member", o.member != self.member, "names this controller itself")?;
+        }
+        Ok(())
+    }
+
+    /// Number of controllers, this one included.
+    pub fn controllers(&self) -> usize {
+        self.others.len() + 1
+    }
+}
+
+impl Operator {
+    fn judge(&self, file: &Path) -> Result<(), SettingsError> {
+        let positive = [
+            ("wait_limit_s", self.wait_limit_s),
+            ("window", self.window as f64),
+            ("step_mb", self.step_mb),
+            ("idle_boots", self.idle_boots),
+            ("late_boots", self.late_boots),
+            ("silent_reports", self.silent_reports),
+        ];
+        for (field, v) in positive {
+            check(file, field, v.is_finite() && v > 0.0, "must be above 0")?;
+        }
+        check(file, "spare_share", self.spare_share.is_finite() && self.spare_share >= 0.0, "must not be negative")
+    }
+}
+
+fn read(file: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(file).map_err(|cause| SettingsError::Read { file: file.into(), cause })
+}
+
+fn check(file: &Path, field: &str, ok: bool, what: &str) -> Result<(), SettingsError> {
+    if ok {
+        return Ok(());
+    }
+    Err(SettingsError::Field { file: file.into(), field: field.into(), what: what.into() })
+}
+
+fn one_line(text: &str) -> String {
+    let parts: Vec<&str> = text.lines().map(str::trim).filter(|l| !l.is_empty()).collect();
+    parts.join(" ")
+}
