--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -424,6 +424,7 @@
         let boot = self.types.iter().map(|t| t.startup_s).fold(f64::MAX, f64::min);
         let mut out: Vec<Demand> = Vec::new();
         let mut spare: BTreeMap<&str, (&JobSpec, u32)> = BTreeMap::new();
+        let soon = |spec: &JobSpec| spec.form == Form::Standing && self.aims.start_within(spec).is_some();
         for j in self.view.jobs.values().filter(|j| !j.withdrawn()) {
             let mut n = j.waiting_count();
             // A machine rented now does not save a job that will be late all
@@ -436,20 +437,27 @@
             if n > 0 {
                 out.push(Demand { spec: &j.spec, tasks: n });
             }
-            let soon = self
-                .set
-                .settings
-                .objectives
-                .iter()
-                .any(|o| o.kind == "wait" && o.class.as_deref() == Some(&j.spec.docket));
-            if soon && j.spec.form == Form::Standing {
+            if soon(&j.spec) {
                 let e = spare.entry(&j.spec.docket).or_insert((&j.spec, 0));
                 e.1 += j.spec.parcels;
             }
         }
+        // The services of any one machine must find room elsewhere at once.
+        let mut together: BTreeMap<&str, u32> = BTreeMap::new();
+        for on in self.view.placed.values() {
+            let mut here: BTreeMap<&str, u32> = BTreeMap::new();
+            for j in on.keys().filter_map(|(job, _)| self.view.jobs.get(job)).filter(|j| soon(&j.spec)) {
+                *here.entry(&j.spec.docket).or_default() += 1;
+            }
+            for (class, n) in here {
+                let most = together.entry(class).or_default();
+                *most = n.max(*most);
+            }
+        }
         out.sort_by_key(|d| std::cmp::Reverse(d.spec.urgency));
-        for (spec, n) in spare.into_values() {
-            let tasks = (f64::from(n) * self.set.operator.spare_share).ceil() as u32 + 1;
+        for (class, (spec, n)) in spare {
+            let share = (f64::from(n) * self.set.operator.spare_share).ceil() as u32 + 1;
+            let tasks = share.max(together.get(class).copied().unwrap_or(0));
             out.push(Demand { spec, tasks });
         }
         out
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -151,10 +151,7 @@
 impl Settings {
     /// Reads and judges the platform's file and, where given, the operator's.
     pub fn load(config: &Path, operator: Option<&Path>) -> Result<Settings, SettingsError> {
-        let text = read(config)?;
-        let mut s: Settings = toml::from_str(&text)
-            .map_err(|e| SettingsError::Parse { file: config.into(), what: one_line(&e.to_string()) })?;
-        s.judge(config)?;
+        let mut s = Settings::parse(&read(config)?, config)?;
         if let Some(file) = operator {
             s.operator = hcl::from_str(&read(file)?)
                 .map_err(|e| SettingsError::Parse { file: file.into(), what: one_line(&e.to_string()) })?;
@@ -163,6 +160,14 @@
         Ok(s)
     }
 
+    /// Reads and judges the text of the platform's file.
+    pub fn parse(text: &str, file: &Path) -> Result<Settings, SettingsError> {
+        let s: Settings = toml::from_str(text)
+            .map_err(|e| SettingsError::Parse { file: file.into(), what: one_line(&e.to_string()) })?;
+        s.judge(file)?;
+        Ok(s)
+    }
+
     fn judge(&self, file: &Path) -> Result<(), SettingsError> {
         let p = &self.settings;
         let positive = [
--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,207 @@
+//! Failures played against three controllers on a fake clock. The world checks
+//! the rules at every step; the tests say what must still get done.
+
+mod world;
+
+use rand::RngExt;
+use world::{World, array, s, service};
+
+fn done(w: &World, uid: &str) -> bool {
+    w.jobs[uid].told_done
+}
+
+fn running(w: &World, uid: &str) -> usize {
+    let on = |w: &world::worker::Worker| {
+        w.tasks.values().filter(|t| t.job == uid && t.state == world::worker::TaskState::Running).count()
+    };
+    w.workers.values().map(on).sum()
+}
+
+#[test]
+fn a_quiet_day_runs_arrays_and_services_and_withdraws() {
+    let mut w = World::new(1, 4);
+    w.submit("run-001", array(12, 4.0));
+    w.submit("run-009", service(2));
+    w.run_until(20.0);
+    assert!(done(&w, "run-001"));
+    assert_eq!(running(&w, "run-009"), 2);
+    w.jobs.get_mut("run-009").unwrap().withdraw_asked = true;
+    w.run_until(25.0);
+    assert!(w.jobs["run-009"].withdrawn_at.is_some());
+    assert_eq!(running(&w, "run-009"), 0);
+    // Once the tasks are proved gone nothing but the end is kept.
+    assert_eq!(w.store.count("fq/t/"), 0);
+}
+
+#[test]
+fn one_controller_restarts() {
+    for node in 0..3 {
+        let mut w = World::new(2, 4);
+        w.submit("run-004", array(16, 10.0));
+        w.submit("run-009", service(3));
+        w.later(8.0, move |w| w.crash(node));
+        w.run_until(50.0);
+        assert!(done(&w, "run-004"), "node {node}");
+        assert_eq!(running(&w, "run-009"), 3, "node {node}");
+    }
+}
+
+#[test]
+fn all_controllers_restart_at_once() {
+    let mut w = World::new(3, 4);
+    w.submit("run-002", array(10, 6.0));
+    w.submit("run-004", array(16, 10.0));
+    w.submit("run-009", service(3));
+    w.later(9.0, |w| (0..3).for_each(|i| w.crash(i)));
+    w.run_until(45.0);
+    assert!(done(&w, "run-002") && done(&w, "run-004"));
+    // The services never stopped: their workers' leases outlast a restart.
+    assert_eq!(running(&w, "run-009"), 3);
+}
+
+#[test]
+fn each_controller_restarts_in_turn() {
+    let mut w = World::new(4, 4);
+    w.submit("run-009", service(4));
+    for i in 0..3 {
+        w.later(10.0 + 8.0 * i as f64, move |w| w.crash(i));
+        w.later(12.0 + 8.0 * i as f64, move |w| w.submit(&format!("run-{}1", i + 1), array(6, 4.0)));
+    }
+    w.run_until(70.0);
+    for uid in ["run-11", "run-21", "run-31"] {
+        assert!(done(&w, uid), "{uid}");
+    }
+    assert_eq!(running(&w, "run-009"), 4);
+}
+
+/// A silent machine is released, which proves its tasks gone, and they start
+/// elsewhere well before its lease would have lapsed.
+#[test]
+fn a_lost_machine_costs_less_than_a_lease() {
+    let mut w = World::new(5, 4);
+    w.submit("run-009", service(6));
+    w.run_until(10.0);
+    let name = w.workers.iter().max_by_key(|(_, x)| x.tasks.len()).unwrap().0.clone();
+    w.cut_worker(&name, true);
+    w.run_until(22.0);
+    assert!(!w.workers.contains_key(&name));
+    assert_eq!(running(&w, "run-009"), 6);
+}
+
+#[test]
+fn a_store_outage_stops_nothing_that_runs() {
+    let mut w = World::new(6, 4);
+    w.submit("run-009", service(4));
+    w.submit("run-008", array(8, 18.0));
+    w.later(10.0, |w| w.store.set_down(w.now, true));
+    w.later(11.0, |w| w.submit("run-001", array(2, 4.0)));
+    w.later(25.0, |w| {
+        assert_eq!(running(w, "run-009"), 4);
+        assert!(!w.jobs["run-001"].accepted);
+        w.store.set_down(w.now, false);
+    });
+    w.run_until(45.0);
+    assert!(done(&w, "run-008") && done(&w, "run-001"));
+}
+
+/// A controller that the store refuses must stop answering its workers in time
+/// for a withdrawal it cannot know of; the others take its machines over.
+#[test]
+fn a_refused_controller_yields() {
+    let mut w = World::new(7, 4);
+    w.submit("run-009", service(4));
+    w.later(10.0, |w| w.nodes[1].refused = true);
+    w.later(12.0, |w| w.jobs.get_mut("run-009").unwrap().withdraw_asked = true);
+    w.later(14.0, |w| w.submit("run-003", array(12, 8.0)));
+    w.run_until(70.0);
+    assert_eq!(running(&w, "run-009"), 0);
+    assert!(done(&w, "run-003"));
+}
+
+/// Starts pushed into a cut arrive when it ends. By then their tasks may run
+/// elsewhere: only the token keeps them from running twice.
+#[test]
+fn pushes_held_back_by_a_cut_start_nothing_twice() {
+    for seed in 0..6 {
+        let mut w = World::new(100 + seed, 3);
+        w.run_until(4.0);
+        w.cloud.down = seed % 2 == 0; // without release the lapse must prove it
+        w.submit("run-006", array(9, 14.0));
+        let names: Vec<String> = w.workers.keys().cloned().collect();
+        let name = names[seed as usize % 3].clone();
+        w.run_until(4.0 + 0.01 * seed as f64);
+        w.cut_worker(&name, true);
+        let cut = name.clone();
+        w.later(20.0 + 3.0 * seed as f64, move |w| w.cut_worker(&cut, false));
+        w.run_until(110.0);
+        assert!(done(&w, "run-006"), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_team_never_exceeds_its_limit() {
+    let mut w = World::new(8, 4);
+    for n in 1..4 {
+        let mut j = array(8, 6.0);
+        j.team = "capped".into();
+        w.submit(&format!("run-0{n}1"), j);
+    }
+    w.later(9.0, |w| w.crash(1));
+    w.run_until(90.0);
+    assert!(["run-011", "run-021", "run-031"].iter().all(|u| done(&w, u)));
+}
+
+/// Random failures, alone and overlapping, with fixed seeds.
+#[test]
+fn rules_hold_under_random_failures() {
+    for seed in 0..12 {
+        let mut w = World::new(1000 + seed, 5);
+        w.cloud.most = 7;
+        for n in 0..14 {
+            let at = w.rng.random_range(0.0..70.0);
+            let uid = format!("run-{n:02}{}", if n % 4 == 0 { 9 } else { n % 5 });
+            let mut j = if n % 4 == 0 { service(2) } else { array(w.rng.random_range(1..12), 4.0) };
+            if n % 3 == 0 {
+                j.team = "capped".into();
+            }
+            let leave = w.rng.random_range(at..110.0);
+            let (a, b) = (uid.clone(), uid);
+            w.later(at, move |w| w.submit(&a, j));
+            if n % 4 == 0 || n % 7 == 0 {
+                w.later(leave, move |w| w.jobs.get_mut(&b).unwrap().withdraw_asked = true);
+            }
+        }
+        for _ in 0..9 {
+            let at = w.rng.random_range(5.0..85.0);
+            let end = at + w.rng.random_range(1.0..25.0);
+            let node = w.rng.random_range(0..3usize);
+            let which = w.rng.random_range(0..5usize);
+            match w.rng.random_range(0..7) {
+                0 | 1 => w.later(at, move |w| w.crash(node)),
+                2 => {
+                    w.later(at, |w| w.store.set_down(w.now, true));
+                    w.later(end, |w| w.store.set_down(w.now, false));
+                }
+                3 => {
+                    w.later(at, move |w| w.nodes[node].refused = true);
+                    w.later(end, move |w| w.nodes[node].refused = false);
+                }
+                4 => {
+                    w.later(at, move |w| w.nodes[node].deaf = true);
+                    w.later(end, move |w| w.nodes[node].deaf = false);
+                }
+                _ => w.later(at, move |w| {
+                    let Some(name) = w.workers.keys().nth(which).cloned() else { return };
+                    w.cut_worker(&name, true);
+                    w.later(end, move |w| w.cut_worker(&name, false));
+                }),
+            }
+        }
+        w.run_until(200.0);
+        for (uid, j) in &w.jobs {
+            let over = j.told_done || j.withdrawn_at.is_some() || j.standing;
+            assert!(over, "seed {}: {uid} is not over: {j:?}", w.seed);
+        }
+        assert!(w.now == s(200.0));
+    }
+}
--- /dev/null
+++ b/tests/world/cloud.rs
@@ -0,0 +1,100 @@
+//! Stand-in for the cloud: machines that boot, a list that lags, releases.
+
+use super::{bytes, get, number, s, text};
+use ciborium::{Value, cbor};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+pub struct Machine {
+    pub build: String,
+    pub site: String,
+    pub spot: bool,
+    pub since: Duration,
+    pub up_at: Duration,
+    up: bool,
+}
+
+#[derive(Default)]
+pub struct Cloud {
+    pub machines: BTreeMap<String, Machine>,
+    next: u64,
+    pub down: bool,
+    answers: BTreeMap<String, Vec<u8>>,
+    /// No more than this many machines at a time.
+    pub most: usize,
+}
+
+const BOOT_S: f64 = 10.0;
+const LAG_S: f64 = 8.0;
+
+impl Cloud {
+    pub fn create(&mut self, now: Duration, build: &str, site: &str, spot: bool) -> String {
+        let name = format!("host-{:06}", self.next);
+        self.next += 1;
+        let up = now == Duration::ZERO;
+        let up_at = now + s(if up { 0.0 } else { BOOT_S });
+        let m = Machine { build: build.into(), site: site.into(), spot, since: now, up_at, up };
+        self.machines.insert(name.clone(), m);
+        name
+    }
+
+    pub fn booted(&mut self, now: Duration) -> Vec<String> {
+        let mut out = Vec::new();
+        for (name, m) in self.machines.iter_mut().filter(|(_, m)| !m.up && m.up_at <= now) {
+            m.up = true;
+            out.push(name.clone());
+        }
+        out
+    }
+
+    pub fn serve(&mut self, now: Duration, method: &str, path: &str, body: &Value) -> (u16, Vec<u8>) {
+        if self.down {
+            return (503, bytes(&cbor!({"error" => "trouble"}).unwrap()));
+        }
+        match (method, path.split('?').next().unwrap()) {
+            ("GET", "/catalog") => {
+                let t = cbor!({"label" => "std", "cores" => 8, "gpus" => 0, "mem_gb" => 32, "local_gb" => 60,
+                    "pull_gb_per_s" => 1.0, "hourly" => 0.4, "spot_price" => 0.1, "startup_s" => BOOT_S, "sites" => ["a"]});
+                (200, bytes(&cbor!({"builds" => [t.unwrap()]}).unwrap()))
+            }
+            ("POST", "/hosts") => {
+                let charter = text(body, "charter");
+                if let Some(a) = self.answers.get(&charter) {
+                    return (200, a.clone());
+                }
+                let spot = get(body, "loaners").and_then(Value::as_bool).unwrap_or(false);
+                let room = self.most.saturating_sub(self.machines.len());
+                let n = (number(body, "number") as usize).min(room);
+                if n == 0 {
+                    return (503, bytes(&cbor!({"error" => "no capacity"}).unwrap()));
+                }
+                let names: Vec<String> = (0..n).map(|_| self.create(now, "std", "a", spot)).collect();
+                let a = bytes(&cbor!({"perches" => names}).unwrap());
+                self.answers.insert(charter, a.clone());
+                (200, a)
+            }
+            ("POST", "/hosts/release") => {
+                for n in get(body, "perches").and_then(Value::as_array).unwrap() {
+                    self.machines.remove(n.as_text().unwrap());
+                }
+                (200, bytes(&cbor!({}).unwrap()))
+            }
+            _ => {
+                let seen = now.saturating_sub(s(LAG_S));
+                let rows: Vec<Value> = self
+                    .machines
+                    .iter()
+                    .filter(|(_, m)| m.since <= seen)
+                    .map(|(n, m)| {
+                        let status = if m.up { "running" } else { "booting" };
+                        let held = (seen - m.since).as_secs_f64();
+                        cbor!({"uid" => n.clone(), "addr" => "", "build" => m.build.clone(), "site" => m.site.clone(),
+                            "loaners" => m.spot, "status" => status, "held_s" => held})
+                        .unwrap()
+                    })
+                    .collect();
+                (200, bytes(&cbor!({"perches" => rows, "truncated" => false}).unwrap()))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,546 @@
+//! A whole small deployment on a fake clock: three controllers (the real
+//! logic), and stand-ins for the state service, the cloud, workers and users.
+//! Every step checks the rules; a broken one panics with the seed.
+
+pub mod cloud;
+pub mod store;
+pub mod worker;
+
+use ciborium::{Value, cbor};
+use cloud::Cloud;
+use finchquay::controller::Controller;
+use finchquay::effects::{Action, Event, NoAnswer, Reply, Target};
+use finchquay::settings::Settings;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::Path;
+use std::time::Duration;
+use store::Store;
+use worker::{TaskState, Worker};
+
+pub const REPORT_S: f64 = 2.0;
+pub const LEASE_S: f64 = 18.0;
+pub const CANCEL_S: f64 = 48.0;
+
+pub fn bytes(v: &Value) -> Vec<u8> {
+    let mut out = Vec::new();
+    ciborium::into_writer(v, &mut out).unwrap();
+    out
+}
+
+pub fn value(b: &[u8]) -> Value {
+    ciborium::from_reader(b).unwrap_or(Value::Null)
+}
+
+pub fn get<'a>(v: &'a Value, name: &str) -> Option<&'a Value> {
+    v.as_map()?.iter().find(|(k, _)| k.as_text() == Some(name)).map(|(_, v)| v)
+}
+
+pub fn text(v: &Value, name: &str) -> String {
+    get(v, name).and_then(Value::as_text).unwrap_or("").to_string()
+}
+
+pub fn number(v: &Value, name: &str) -> u64 {
+    get(v, name).and_then(Value::as_integer).map_or(0, |n| u64::try_from(i128::from(n)).unwrap_or(0))
+}
+
+/// What is known to users of one job.
+#[derive(Debug, Clone, Default)]
+pub struct Job {
+    pub standing: bool,
+    pub tasks: u32,
+    pub cores: f64,
+    pub run_s: f64,
+    pub team: String,
+    pub submitted: bool,
+    pub accepted: bool,
+    pub withdraw_asked: bool,
+    pub withdrawn_at: Option<Duration>,
+    pub done: BTreeSet<u32>,
+    pub told_done: bool,
+    pub running: u32,
+}
+
+enum Source {
+    Worker(String, u64),
+    Submit(String),
+    Poll(String),
+    Withdraw(String),
+}
+
+enum Ev {
+    Nature,
+    Tick(usize, u64),
+    Answer(usize, u64, Result<Reply, NoAnswer>),
+    Call(usize, u64, Box<Action>),
+    Request(usize, u64),
+    Reply(u64, u16, Vec<u8>),
+    Timeout(u64),
+    Beat(usize, String, finchquay::protocol::peer::Frame),
+    Restart(usize),
+    User(String),
+    Do(Box<dyn FnOnce(&mut World)>),
+}
+
+pub struct Node {
+    pub logic: Option<Controller>,
+    pub life: u64,
+    /// The state service refuses this node, or nothing reaches it.
+    pub refused: bool,
+    /// Nothing passes between this node and the workers.
+    pub deaf: bool,
+}
+
+struct Pending {
+    source: Source,
+    node: usize,
+    life: u64,
+    request: (String, String, Vec<u8>),
+}
+
+pub struct World {
+    pub now: Duration,
+    pub rng: StdRng,
+    pub seed: u64,
+    queue: BTreeMap<(Duration, u64), Ev>,
+    order: u64,
+    pub nodes: Vec<Node>,
+    pub store: Store,
+    pub cloud: Cloud,
+    pub workers: BTreeMap<String, Worker>,
+    pub jobs: BTreeMap<String, Job>,
+    pending: BTreeMap<u64, Pending>,
+    next_conn: u64,
+    starts: BTreeMap<usize, Duration>,
+    pub team_max: f64,
+    pub restart_s: f64,
+}
+
+pub fn s(x: f64) -> Duration {
+    Duration::from_secs_f64(x)
+}
+
+fn settings(node: usize, team_max: f64) -> Settings {
+    let mut t = format!(
+        "member = \"perch-{node}\"\nzone = \"a\"\npublic_addr = \"10.0.0.{0}:8080\"\npeer_bind = \"10.0.0.{0}:8081\"\n",
+        node + 1
+    );
+    for o in (0..3).filter(|o| *o != node) {
+        t += &format!("[[others]]\nmember = \"perch-{o}\"\nzone = \"a\"\npeer_addr = \"10.0.0.{}:8081\"\n", o + 1);
+    }
+    t += "[outside]\ncloud = \"10.2.0.2:8443\"\nstate = \"10.2.0.1:2379\"\n[settings]\nzones = [\"a\", \"b\"]\n";
+    t += &format!(
+        "[[settings.teams]]\nname = \"free\"\n[[settings.teams]]\nname = \"capped\"\ncpus_max = {team_max:.1}\n"
+    );
+    t += "[[settings.objectives]]\nkind = \"wait\"\nclass = \"web\"\nwithin_s = 6.0\nshare = 0.9\n";
+    t += &format!(
+        "[settings.workers]\nreport_s = {REPORT_S}\nlease_s = {LEASE_S}\ngang_wait_s = 40.0\ngang_peer_s = 4.0\ncancel_s = {CANCEL_S}\n"
+    );
+    t += "[settings.state]\nrps = 200.0\nwrite_rps = 80.0\nvalue_kb = 8.0\ntxn_ops = 32\n";
+    t += "[settings.cloud]\nrps = 3.0\nlist_lag_s = 8.0\n";
+    t += "[settings.machine_limits]\ncore_share = 0.08\nram_mb = 56.0\nmax_connections = 800\n";
+    Settings::parse(&t, Path::new("world")).unwrap()
+}
+
+impl World {
+    /// Three controllers and `machines` machines that are up.
+    pub fn new(seed: u64, machines: u32) -> World {
+        let mut w = World {
+            now: Duration::ZERO,
+            rng: StdRng::seed_from_u64(seed),
+            seed,
+            queue: BTreeMap::new(),
+            order: 0,
+            nodes: Vec::new(),
+            store: Store::default(),
+            cloud: Cloud::default(),
+            workers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            next_conn: 1,
+            starts: BTreeMap::new(),
+            team_max: 8.0,
+            restart_s: 3.0,
+        };
+        for i in 0..3 {
+            w.nodes.push(Node { logic: None, life: 0, refused: false, deaf: false });
+            w.boot(i);
+        }
+        w.at(0.0, Ev::Nature);
+        for _ in 0..machines {
+            let name = w.cloud.create(Duration::ZERO, "std", "a", false);
+            w.add_worker(&name);
+        }
+        w
+    }
+
+    fn boot(&mut self, i: usize) {
+        let incarnation = self.rng.random();
+        self.nodes[i].life += 1;
+        let c = Controller::new(settings(i, self.team_max), incarnation, self.now + s(1e9));
+        self.nodes[i].logic = Some(c);
+        // The controller's clock starts with the process.
+        self.starts.insert(i, self.now);
+        let life = self.nodes[i].life;
+        self.at(0.01, Ev::Tick(i, life));
+    }
+
+    pub fn crash(&mut self, i: usize) {
+        self.nodes[i].logic = None;
+        self.nodes[i].life += 1;
+        self.at(self.restart_s, Ev::Restart(i));
+    }
+
+    fn at(&mut self, delay_s: f64, ev: Ev) {
+        self.order += 1;
+        self.queue.insert((self.now + s(delay_s), self.order), ev);
+    }
+
+    pub fn later(&mut self, at_s: f64, f: impl FnOnce(&mut World) + 'static) {
+        let delay = (s(at_s).saturating_sub(self.now)).as_secs_f64();
+        self.at(delay, Ev::Do(Box::new(f)));
+    }
+
+    fn lag(&mut self) -> f64 {
+        self.rng.random_range(0.001..0.006)
+    }
+
+    pub fn add_worker(&mut self, name: &str) {
+        let m = &self.cloud.machines[name];
+        let first = self.rng.random_range(0..3);
+        let w = Worker::new(name, &m.site, m.spot, first, self.now);
+        self.workers.insert(name.to_string(), w);
+    }
+
+    pub fn submit(&mut self, uid: &str, job: Job) {
+        self.jobs.insert(uid.to_string(), job);
+        self.at(0.0, Ev::User(uid.to_string()));
+    }
+
+    pub fn run_until(&mut self, end_s: f64) {
+        while let Some((&(t, n), _)) = self.queue.first_key_value() {
+            if t > s(end_s) {
+                break;
+            }
+            let ev = self.queue.remove(&(t, n)).unwrap();
+            self.now = t;
+            self.step(ev);
+        }
+        self.now = s(end_s);
+    }
+
+    fn step(&mut self, ev: Ev) {
+        match ev {
+            Ev::Nature => {
+                self.nature();
+                self.at(0.02, Ev::Nature);
+            }
+            Ev::Tick(i, life) => {
+                if self.nodes[i].life == life {
+                    self.give(i, Event::Tick);
+                    self.at(0.02, Ev::Tick(i, life));
+                }
+            }
+            Ev::Restart(i) => self.boot(i),
+            Ev::Answer(i, life_id, result) => {
+                let (life, id) = (life_id >> 32, life_id & 0xffff_ffff);
+                if self.nodes[i].life & 0xffff == life & 0xffff {
+                    self.give(i, Event::Answer { id, result });
+                }
+            }
+            Ev::Call(i, life, action) => self.carry_out(i, life, *action),
+            Ev::Request(i, conn) => {
+                let Some(p) = self.pending.get(&conn) else { return };
+                let (method, path, body) = p.request.clone();
+                let to_worker = matches!(p.source, Source::Worker(..));
+                if p.life != self.nodes[i].life || (to_worker && self.nodes[i].deaf) {
+                    return;
+                }
+                self.give(i, Event::Request { conn, method, path, body });
+            }
+            Ev::Reply(conn, status, body) => {
+                if let Some(p) = self.pending.remove(&conn) {
+                    self.replied(p.source, status, &body);
+                }
+            }
+            Ev::Timeout(conn) => {
+                if let Some(p) = self.pending.remove(&conn) {
+                    self.replied(p.source, 0, &[]);
+                }
+            }
+            Ev::Beat(i, member, frame) => self.give(i, Event::Peer { member, frame }),
+            Ev::User(uid) => self.user(&uid),
+            Ev::Do(f) => f(self),
+        }
+    }
+
+    fn give(&mut self, i: usize, event: Event) {
+        let start = self.starts.get(&i).copied().unwrap_or_default();
+        let now = self.now - start;
+        let mut actions = Vec::new();
+        if let Some(c) = self.nodes[i].logic.as_mut() {
+            c.handle(now, event, &mut actions);
+        }
+        for a in actions {
+            match a {
+                Action::Respond { conn, status, body, .. } => {
+                    let lag = self.lag();
+                    let cut = self
+                        .pending
+                        .get(&conn)
+                        .is_some_and(|p| matches!(&p.source, Source::Worker(..)) && self.nodes[p.node].deaf);
+                    if !cut {
+                        self.at(lag, Ev::Reply(conn, status, body));
+                    }
+                }
+                Action::Send { member, frame } => {
+                    let to: usize = member.trim_start_matches("perch-").parse().unwrap();
+                    let lag = self.lag();
+                    self.at(lag, Ev::Beat(to, format!("perch-{i}"), frame));
+                }
+                call => {
+                    let lag = self.lag();
+                    let life = self.nodes[i].life;
+                    self.at(lag, Ev::Call(i, life, Box::new(call)));
+                }
+            }
+        }
+    }
+
+    /// Things that happen by themselves: leases, watches, workers, boots.
+    fn nature(&mut self) {
+        self.store.expire(self.now);
+        for (node, id, status, body) in self.store.due_watches(self.now) {
+            let lag = self.lag();
+            self.at(lag, Ev::Answer(node, id, Ok(Reply { status, body })));
+        }
+        for name in self.cloud.booted(self.now) {
+            self.add_worker(&name);
+        }
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            self.work(&name);
+        }
+        self.check();
+    }
+
+    fn work(&mut self, name: &str) {
+        let now = self.now;
+        let w = self.workers.get_mut(name).unwrap();
+        for (job, index) in w.advance(now) {
+            if let Some(j) = self.jobs.get_mut(&job) {
+                j.done.insert(index);
+            }
+        }
+        let w = self.workers.get_mut(name).unwrap();
+        let Some(body) = w.report_due(now) else { return };
+        let (node, tally, cut) = (w.node, w.tally, w.cut);
+        let jitter = self.rng.random_range(0.75..1.25);
+        self.workers.get_mut(name).unwrap().next_report = now + s(REPORT_S * jitter);
+        let conn = self.request(node, Source::Worker(name.to_string(), tally), "POST", "/checkin", body, cut);
+        self.at(4.0, Ev::Timeout(conn));
+    }
+
+    fn request(&mut self, node: usize, source: Source, method: &str, path: &str, body: Vec<u8>, lost: bool) -> u64 {
+        let conn = self.next_conn;
+        self.next_conn += 1;
+        let life = self.nodes[node].life;
+        let request = (method.to_string(), path.to_string(), body);
+        self.pending.insert(conn, Pending { source, node, life, request });
+        if !lost {
+            let lag = self.lag();
+            self.at(lag, Ev::Request(node, conn));
+        }
+        conn
+    }
+
+    fn replied(&mut self, source: Source, status: u16, body: &[u8]) {
+        match source {
+            Source::Worker(name, tally) => {
+                let now = self.now;
+                let Some(w) = self.workers.get_mut(&name) else { return };
+                if w.cut && status != 0 {
+                    return;
+                }
+                let started = w.answered(tally, status, &value(body), now);
+                self.starting(&name, started);
+            }
+            Source::Submit(uid) => {
+                if status == 200 || status == 201 {
+                    self.jobs.get_mut(&uid).unwrap().accepted = true;
+                }
+                assert!(status != 400 && status != 422, "seed {}: good submission got {status}", self.seed);
+                self.at(1.0, Ev::User(uid));
+            }
+            Source::Poll(uid) => {
+                self.polled(&uid, status, &value(body));
+                self.at(2.0, Ev::User(uid));
+            }
+            Source::Withdraw(uid) => {
+                if status == 200 {
+                    let now = self.now;
+                    let state = text(&value(body), "status");
+                    let seed = self.seed;
+                    let j = self.jobs.get_mut(&uid).unwrap();
+                    match state.as_str() {
+                        "withdrawn" => j.withdrawn_at = Some(now),
+                        "done" => j.told_done = true,
+                        other => panic!("seed {seed}: withdraw answered with {other}"),
+                    }
+                }
+                self.at(1.0, Ev::User(uid));
+            }
+        }
+    }
+
+    fn user(&mut self, uid: &str) {
+        let j = self.jobs.get_mut(uid).unwrap();
+        let up: Vec<usize> = (0..3).filter(|i| self.nodes[*i].logic.is_some()).collect();
+        if up.is_empty() {
+            return self.at(1.0, Ev::User(uid.to_string()));
+        }
+        let (path, source, method, body) = if !j.accepted {
+            j.submitted = true;
+            ("/work".to_string(), Source::Submit(uid.into()), "POST", bytes(&spec(uid, j)))
+        } else if j.withdraw_asked && j.withdrawn_at.is_none() && !j.told_done {
+            (format!("/work/{uid}/withdraw"), Source::Withdraw(uid.into()), "POST", vec![])
+        } else {
+            (format!("/work/{uid}"), Source::Poll(uid.into()), "GET", vec![])
+        };
+        let node = up[self.rng.random_range(0..up.len())];
+        let conn = self.request(node, source, method, &path, body, false);
+        self.at(2.0, Ev::Timeout(conn));
+    }
+
+    fn polled(&mut self, uid: &str, status: u16, body: &Value) {
+        let seed = self.seed;
+        let j = self.jobs.get_mut(uid).unwrap();
+        assert!(status != 404, "seed {seed}: accepted {uid} was forgotten");
+        if status != 200 {
+            return;
+        }
+        let state = text(body, "status");
+        if j.told_done {
+            assert_eq!(state, "done", "seed {seed}: {uid} went back");
+        }
+        if j.withdrawn_at.is_some() {
+            assert_eq!(state, "withdrawn", "seed {seed}: {uid} went back");
+        }
+        if state == "done" {
+            assert_eq!(j.done.len() as u32, j.tasks, "seed {seed}: {uid} is told done too early");
+            j.told_done = true;
+        }
+        assert!(state != "withdrawn" || j.withdraw_asked, "seed {seed}: {uid} withdrawn by nobody");
+        j.running = number(body, "running") as u32;
+    }
+
+    /// Checks that hold at the moment a task starts.
+    fn starting(&mut self, name: &str, started: Vec<(String, u32)>) {
+        for (job, index) in started {
+            for (other, w) in &self.workers {
+                let there = w.tasks.values().any(|t| t.job == job && t.index == index && t.state != TaskState::Exited);
+                assert!(other == name || !there, "seed {}: {job}/{index} starts on {name} while on {other}", self.seed);
+            }
+            assert!(self.jobs.contains_key(&job), "seed {}: {job} starts and was never submitted", self.seed);
+        }
+    }
+
+    /// Checks that hold at any moment.
+    fn check(&self) {
+        let mut used = 0.0;
+        for (name, w) in &self.workers {
+            let mut cores = 0.0;
+            for t in w.tasks.values().filter(|t| t.state != TaskState::Exited) {
+                let j = &self.jobs[&t.job];
+                cores += j.cores;
+                if j.team == "capped" {
+                    used += j.cores;
+                }
+                if let Some(at) = j.withdrawn_at {
+                    let late = self.now > at + s(CANCEL_S);
+                    assert!(!late, "seed {}: {}/{} runs long after its withdrawal", self.seed, t.job, t.index);
+                }
+            }
+            assert!(cores <= 8.0, "seed {}: {name} is overfull", self.seed);
+        }
+        assert!(used <= self.team_max + 1e-9, "seed {}: the team uses {used} of {}", self.seed, self.team_max);
+    }
+
+    fn carry_out(&mut self, i: usize, life: u64, action: Action) {
+        let Action::Call { id, target, method, path, body, timeout } = action else { return };
+        let id = (life & 0xffff) << 32 | id;
+        let body = body.map(|b| value(&b)).unwrap_or(Value::Null);
+        let lag = self.lag();
+        let answer = match target {
+            Target::State if self.nodes[i].refused || self.store.down => Some((503, vec![])),
+            Target::State => self.store.serve(self.now, i, id, method, &path, &body),
+            Target::Cloud => {
+                let a = self.cloud.serve(self.now, method, &path, &body);
+                let gone: Vec<String> =
+                    self.workers.keys().filter(|n| !self.cloud.machines.contains_key(*n)).cloned().collect();
+                for n in gone {
+                    self.workers.remove(&n);
+                }
+                Some(a)
+            }
+            Target::Worker(addr) => {
+                let name = self.workers.values().find(|w| w.addr == addr.to_string()).map(|w| w.name.clone());
+                match name {
+                    Some(n) if !self.workers[&n].cut && !self.nodes[i].deaf => {
+                        let now = self.now;
+                        let w = self.workers.get_mut(&n).unwrap();
+                        let (status, report, started) = w.pushed(&body, now);
+                        self.starting(&n, started);
+                        Some((status, report))
+                    }
+                    Some(n) if self.workers[&n].cut => {
+                        // Held back: carried out once the cut is over.
+                        self.workers.get_mut(&n).unwrap().held.push(body);
+                        None
+                    }
+                    _ => None,
+                }
+            }
+        };
+        match answer {
+            Some((status, body)) => self.at(lag, Ev::Answer(i, id, Ok(Reply { status, body }))),
+            None if matches!(target, Target::State) => {}
+            None => self.at(timeout.as_secs_f64(), Ev::Answer(i, id, Err(NoAnswer))),
+        }
+    }
+
+    /// Cuts a worker off, or ends the cut and delivers what was held back.
+    pub fn cut_worker(&mut self, name: &str, cut: bool) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(name) else { return };
+        w.cut = cut;
+        if !cut {
+            for body in std::mem::take(&mut w.held) {
+                let w = self.workers.get_mut(name).unwrap();
+                let (_, _, started) = w.pushed(&body, now);
+                self.starting(name, started);
+            }
+        }
+    }
+}
+
+pub fn array(tasks: u32, run_s: f64) -> Job {
+    Job { tasks, cores: 2.0, run_s, team: "free".into(), ..Job::default() }
+}
+
+pub fn service(tasks: u32) -> Job {
+    Job { tasks, cores: 1.0, run_s: 1e9, standing: true, team: "free".into(), ..Job::default() }
+}
+
+fn spec(uid: &str, j: &Job) -> Value {
+    let (form, urgency, docket) =
+        if j.standing { ("standing", "urgent", "web") } else { ("batch", "standard", "calc") };
+    cbor!({
+        "uid" => uid, "docket" => docket, "desk" => j.team.clone(), "form" => form, "urgency" => urgency,
+        "parcels" => j.tasks, "cores" => j.cores, "gpus" => 0.0, "mem_gb" => 1.0, "bundle" => "img-1",
+        "size_gb" => 0.5, "builds" => null, "site" => null, "together" => false, "apart" => false,
+        "loaners" => true, "expected_s" => j.run_s.min(100.0), "stamp_every_s" => 0.0, "stamp_s" => 0.0, "due_s" => null
+    })
+    .unwrap()
+}
--- /dev/null
+++ b/tests/world/store.rs
@@ -0,0 +1,174 @@
+//! Stand-in for the state service: keys, versions, leases, watches.
+
+use super::{bytes, get, number, text};
+use ciborium::{Value, cbor};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+struct Entry {
+    data: Value,
+    version: u64,
+    lease: Option<u64>,
+}
+
+struct Watch {
+    node: usize,
+    id: u64,
+    after: u64,
+    until: Duration,
+}
+
+#[derive(Default)]
+pub struct Store {
+    keys: BTreeMap<String, Entry>,
+    ledger: u64,
+    changes: Vec<(u64, String, Option<Value>)>,
+    leases: BTreeMap<u64, (Duration, Duration)>,
+    watches: Vec<Watch>,
+    next_lease: u64,
+    pub down: bool,
+    down_since: Option<Duration>,
+}
+
+type Answer = Option<(u16, Vec<u8>)>;
+
+impl Store {
+    fn ok(v: Value) -> Answer {
+        Some((200, bytes(&v)))
+    }
+
+    pub fn set_down(&mut self, now: Duration, down: bool) {
+        self.down = down;
+        if down {
+            self.down_since = Some(now);
+        } else if self.down_since.take().is_some() {
+            // After an outage every lease has its full time again.
+            for (ttl, until) in self.leases.values_mut() {
+                *until = now + *ttl;
+            }
+        }
+    }
+
+    pub fn expire(&mut self, now: Duration) {
+        if self.down {
+            return;
+        }
+        let dead: Vec<u64> = self.leases.iter().filter(|(_, l)| l.1 < now).map(|(id, _)| *id).collect();
+        for id in dead {
+            self.leases.remove(&id);
+            let keys: Vec<String> =
+                self.keys.iter().filter(|(_, e)| e.lease == Some(id)).map(|(k, _)| k.clone()).collect();
+            for k in keys {
+                self.ledger += 1;
+                self.keys.remove(&k);
+                self.changes.push((self.ledger, k, None));
+            }
+        }
+    }
+
+    pub fn due_watches(&mut self, now: Duration) -> Vec<(usize, u64, u16, Vec<u8>)> {
+        if self.down {
+            return Vec::new();
+        }
+        let ledger = self.ledger;
+        let (due, rest): (Vec<Watch>, Vec<Watch>) =
+            std::mem::take(&mut self.watches).into_iter().partition(|w| w.after < ledger || w.until <= now);
+        self.watches = rest;
+        due.into_iter().map(|w| (w.node, w.id, 200, self.news(w.after))).collect()
+    }
+
+    fn news(&self, after: u64) -> Vec<u8> {
+        let news: Vec<Value> = self
+            .changes
+            .iter()
+            .filter(|c| c.0 > after)
+            .map(|(rev, key, data)| match data {
+                Some(d) => cbor!({"put" => key.clone(), "data" => d.clone(), "entry_no" => *rev}).unwrap(),
+                None => cbor!({"delete" => key.clone(), "entry_no" => *rev}).unwrap(),
+            })
+            .collect();
+        bytes(&cbor!({"ledger_no" => self.ledger, "news" => news}).unwrap())
+    }
+
+    pub fn serve(&mut self, now: Duration, node: usize, id: u64, method: &str, path: &str, body: &Value) -> Answer {
+        let arg = |name: &str| {
+            let q = path.split('?').nth(1).unwrap_or("");
+            q.split('&').find_map(|p| p.strip_prefix(&format!("{name}="))).unwrap_or("").to_string()
+        };
+        if method == "POST" && path == "/multi" {
+            return Some(self.multi(body));
+        }
+        if method == "POST" && path == "/holds" {
+            self.next_lease += 1;
+            let ttl = Duration::from_millis(number(body, "ttl_ms"));
+            self.leases.insert(self.next_lease, (ttl, now + ttl));
+            return Self::ok(cbor!({"tenure" => self.next_lease}).unwrap());
+        }
+        if let Some(rest) = path.strip_prefix("/holds/") {
+            let lease: u64 = rest.trim_end_matches("/extend").parse().unwrap();
+            return match self.leases.get_mut(&lease) {
+                Some((ttl, until)) => {
+                    *until = now + *ttl;
+                    Self::ok(cbor!({"tenure" => lease}).unwrap())
+                }
+                None => Some((404, vec![])),
+            };
+        }
+        if path.starts_with("/follow?") {
+            let after: u64 = arg("after").parse().unwrap();
+            let hold: u64 = arg("hold_ms").parse().unwrap();
+            self.watches.push(Watch { node, id, after, until: now + Duration::from_millis(hold) });
+            return None;
+        }
+        if let Some(key) = path.strip_prefix("/store/") {
+            return match self.keys.get(key) {
+                Some(e) => Self::ok(cbor!({"key" => key, "data" => e.data.clone(), "entry_no" => e.version}).unwrap()),
+                None => Some((404, bytes(&cbor!({"ledger_no" => self.ledger}).unwrap()))),
+            };
+        }
+        let (prefix, after) = (arg("starts"), arg("after"));
+        // A small page, so that paging is always exercised.
+        let all: Vec<(&String, &Entry)> =
+            self.keys.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after).collect();
+        let rows: Vec<Value> = all
+            .iter()
+            .take(7)
+            .map(|(k, e)| cbor!({"key" => (*k).clone(), "data" => e.data.clone(), "entry_no" => e.version}).unwrap())
+            .collect();
+        Self::ok(cbor!({"rows" => rows, "truncated" => all.len() > 7, "ledger_no" => self.ledger}).unwrap())
+    }
+
+    fn multi(&mut self, body: &Value) -> (u16, Vec<u8>) {
+        let list = |name| get(body, name).and_then(Value::as_array).cloned().unwrap_or_default();
+        let (conds, ops) = (list("if"), list("then"));
+        let lease_of = |o: &Value| get(o, "tenure").map(|_| number(o, "tenure"));
+        if ops.iter().filter_map(lease_of).any(|l| !self.leases.contains_key(&l)) {
+            return (400, vec![]);
+        }
+        let version = |k: &str| self.keys.get(k).map_or(0, |e| e.version);
+        if conds.iter().any(|c| version(&text(c, "key")) != number(c, "entry_no")) {
+            return (409, bytes(&cbor!({"failed" => [], "ledger_no" => self.ledger}).unwrap()));
+        }
+        assert!(ops.len() <= 32 && conds.len() <= 128 && bytes(body).len() <= 65536, "transaction over the limits");
+        self.ledger += 1;
+        for o in &ops {
+            let key = text(o, "put");
+            if key.is_empty() {
+                let key = text(o, "delete");
+                self.keys.remove(&key);
+                self.changes.push((self.ledger, key, None));
+                continue;
+            }
+            let data = get(o, "data").cloned().unwrap();
+            assert!(bytes(&data).len() <= 8192, "{key} is over the value limit");
+            self.changes.push((self.ledger, key.clone(), Some(data.clone())));
+            self.keys.insert(key, Entry { data, version: self.ledger, lease: lease_of(o) });
+        }
+        (200, bytes(&cbor!({"ledger_no" => self.ledger}).unwrap()))
+    }
+
+    /// How many machines the records hold.
+    pub fn count(&self, prefix: &str) -> usize {
+        self.keys.keys().filter(|k| k.starts_with(prefix)).count()
+    }
+}
--- /dev/null
+++ b/tests/world/worker.rs
@@ -0,0 +1,214 @@
+//! Stand-in for a worker: reports, tokens, leases and tasks as PROTOCOL has them.
+
+use super::{LEASE_S, bytes, get, number, s, text};
+use ciborium::{Value, cbor};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TaskState {
+    Fetching,
+    Running,
+    Exited,
+}
+
+#[derive(Debug, Clone)]
+pub struct Task {
+    pub job: String,
+    pub index: u32,
+    pub state: TaskState,
+    cause: &'static str,
+    turn: Duration,
+}
+
+pub struct Worker {
+    pub name: String,
+    pub addr: String,
+    site: String,
+    spot: bool,
+    pub node: usize,
+    shift: u64,
+    pub tally: u64,
+    warrant: u64,
+    pub tasks: BTreeMap<(String, u64), Task>,
+    results: BTreeSet<String>,
+    /// When the report in flight was sent.
+    flight: Option<Duration>,
+    lease_from: Duration,
+    pub next_report: Duration,
+    pub cut: bool,
+    pub held: Vec<Value>,
+    /// Every task fails here.
+    pub sick: bool,
+    pub runs: BTreeMap<String, f64>,
+}
+
+impl Worker {
+    pub fn new(name: &str, site: &str, spot: bool, node: usize, now: Duration) -> Worker {
+        let n: u64 = name.trim_start_matches("host-").parse().unwrap();
+        Worker {
+            name: name.into(),
+            addr: format!("10.1.{}.{}:9000", n / 250, n % 250 + 1),
+            site: site.into(),
+            spot,
+            node,
+            shift: 1,
+            tally: 0,
+            warrant: 0,
+            tasks: BTreeMap::new(),
+            results: BTreeSet::new(),
+            flight: None,
+            lease_from: now,
+            next_report: now,
+            cut: false,
+            held: Vec::new(),
+            sick: false,
+            runs: BTreeMap::new(),
+        }
+    }
+
+    /// Lets time pass; names the tasks that completed.
+    pub fn advance(&mut self, now: Duration) -> Vec<(String, u32)> {
+        if now > self.lease_from + s(LEASE_S) {
+            self.shift += 1;
+            self.tasks.clear();
+            self.lease_from = now;
+            self.flight = None;
+        }
+        let mut done = Vec::new();
+        for t in self.tasks.values_mut().filter(|t| t.turn <= now) {
+            match t.state {
+                TaskState::Fetching if self.sick => (t.state, t.cause) = (TaskState::Exited, "error"),
+                TaskState::Fetching => {
+                    let name = format!("{}/{}", t.job, t.index);
+                    let run = if self.results.contains(&name) {
+                        0.0
+                    } else {
+                        self.runs.get(&t.job).copied().unwrap_or(run_s(&t.job))
+                    };
+                    (t.state, t.turn) = (TaskState::Running, now + s(run));
+                    continue;
+                }
+                TaskState::Running => {
+                    (t.state, t.cause) = (TaskState::Exited, "done");
+                    self.results.insert(format!("{}/{}", t.job, t.index));
+                    done.push((t.job.clone(), t.index));
+                }
+                TaskState::Exited => continue,
+            }
+            self.next_report = self.next_report.min(now + s(0.5));
+        }
+        done
+    }
+
+    fn report(&mut self) -> Vec<u8> {
+        self.tally += 1;
+        let tasks: Vec<Value> = self
+            .tasks
+            .iter()
+            .map(|((parcel, attempt), t)| {
+                let status = match t.state {
+                    TaskState::Fetching => "fetching",
+                    TaskState::Running => "running",
+                    TaskState::Exited => "exited",
+                };
+                cbor!({"parcel" => parcel.clone(), "try" => *attempt, "status" => status, "cause" => t.cause}).unwrap()
+            })
+            .collect();
+        bytes(
+            &cbor!({"perch" => self.name.clone(), "addr" => self.addr.clone(), "build" => "std", "site" => self.site.clone(),
+                "loaners" => self.spot, "shift" => self.shift, "tally" => self.tally, "warrant" => self.warrant,
+                "recall_s" => null, "parcels" => tasks})
+            .unwrap(),
+        )
+    }
+
+    pub fn report_due(&mut self, now: Duration) -> Option<Vec<u8>> {
+        if self.flight.is_some() || now < self.next_report {
+            return None;
+        }
+        self.flight = Some(now);
+        Some(self.report())
+    }
+
+    /// Answer to report `tally`; status 0 is none. Names the tasks it starts.
+    pub fn answered(&mut self, tally: u64, status: u16, body: &Value, now: Duration) -> Vec<(String, u32)> {
+        let Some(sent) = self.flight.filter(|_| tally <= self.tally) else { return Vec::new() };
+        self.flight = None;
+        match status {
+            200 => {
+                let token = number(body, "warrant");
+                if token < self.warrant {
+                    return Vec::new();
+                }
+                self.warrant = token;
+                self.lease_from = self.lease_from.max(sent);
+                self.execute(body, now)
+            }
+            421 if !text(body, "harbor").is_empty() => {
+                self.node = text(body, "harbor").trim_start_matches("perch-").parse().unwrap();
+                self.next_report = now + s(0.2);
+                Vec::new()
+            }
+            _ => {
+                self.node = (self.node + 1) % 3;
+                self.next_report = now + s(1.0);
+                Vec::new()
+            }
+        }
+    }
+
+    pub fn pushed(&mut self, body: &Value, now: Duration) -> (u16, Vec<u8>, Vec<(String, u32)>) {
+        let token = number(body, "warrant");
+        if token < self.warrant || number(body, "shift") != self.shift {
+            return (409, self.report(), Vec::new());
+        }
+        self.warrant = token;
+        let started = self.execute(body, now);
+        (200, self.report(), started)
+    }
+
+    fn execute(&mut self, body: &Value, now: Duration) -> Vec<(String, u32)> {
+        let mut started = Vec::new();
+        for o in get(body, "orders").and_then(Value::as_array).cloned().unwrap_or_default() {
+            let (parcel, attempt) = (text(&o, "parcel"), number(&o, "try"));
+            let key = (parcel.clone(), attempt);
+            let (job, index) = parcel.split_once('/').unwrap();
+            self.next_report = self.next_report.min(now + s(0.5));
+            match text(&o, "verb").as_str() {
+                "run" if self.tasks.contains_key(&key) => {}
+                "run" => {
+                    let other = self.tasks.iter().any(|((p, _), t)| *p == parcel && t.state != TaskState::Exited);
+                    let state = if other { TaskState::Exited } else { TaskState::Fetching };
+                    let index = index.parse().unwrap();
+                    let cause = if other { "in_use" } else { "" };
+                    self.tasks.insert(key, Task { job: job.into(), index, state, cause, turn: now + s(0.5) });
+                    if !other {
+                        started.push((job.to_string(), index));
+                    }
+                }
+                "kill" => {
+                    if let Some(t) = self.tasks.get_mut(&key).filter(|t| t.state != TaskState::Exited) {
+                        (t.state, t.cause) = (TaskState::Exited, "stopped");
+                    }
+                }
+                "forget" => {
+                    if self.tasks.get(&key).is_some_and(|t| t.state == TaskState::Exited) {
+                        self.tasks.remove(&key);
+                    }
+                }
+                other => panic!("unknown verb {other}"),
+            }
+        }
+        started
+    }
+}
+
+/// Run time by the job's number: ids that end in 9 are services.
+fn run_s(job: &str) -> f64 {
+    match job.as_bytes().last() {
+        Some(b'9') => 1e6,
+        Some(d) => 2.0 + f64::from(d - b'0') * 2.0,
+        None => 1.0,
+    }
+}
