--- a/src/protocol/user.rs
+++ b/src/protocol/user.rs
@@ -185,6 +185,18 @@
         decode::<JobSpec>(body).is_ok_and(|s| s.well_formed())
     }
 
+    #[test]
+    fn routes_tell_unknown_paths_from_wrong_methods() {
+        assert_eq!(route("POST", "/work"), Route::Submit);
+        assert_eq!(route("GET", "/work/run-1"), Route::Poll("run-1"));
+        assert_eq!(route("POST", "/work/run-1/withdraw"), Route::Withdraw("run-1"));
+        assert_eq!(route("GET", "/work/run-1/withdraw"), Route::WrongMethod);
+        assert_eq!(route("DELETE", "/work"), Route::WrongMethod);
+        for path in ["/", "/work/", "/work/a/b", "/work/a/b/withdraw", "/other"] {
+            assert_eq!(route("GET", path), Route::Unknown, "{path}");
+        }
+    }
+
     /// Each of these must be a 400, for ever: users do not repeat a 400.
     #[test]
     fn malformed_submissions_are_told_from_good_ones() {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -74,6 +74,10 @@
     cloud: SocketAddr,
     max_server: usize,
     servers: usize,
+    /// Peer connections that were accepted; each peer needs one, some more
+    /// while old ones die.
+    peers_in: usize,
+    max_peers_in: usize,
     response_limit: usize,
     /// How long a client may take over one request, and stay idle.
     slow: Duration,
@@ -113,6 +117,8 @@
         cloud: settings.outside.cloud,
         max_server: limits.max_connections * 3 / 4,
         servers: 0,
+        peers_in: 0,
+        max_peers_in: limits.max_connections / 16,
         response_limit: (limits.ram_mb * 1048576.0) as usize / RESPONSE_SHARE,
         slow: Duration::from_secs_f64(workers.report_s * 2.0),
         patience: Duration::from_secs_f64(workers.lease_s * 2.0),
@@ -175,7 +181,7 @@
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Err(_) => return,
             };
-            let deadline = self.now() + self.patience;
+            let deadline = self.now() + if user { self.patience } else { self.slow };
             let role = if user {
                 if self.servers >= self.max_server && !self.shed() {
                     continue;
@@ -183,6 +189,10 @@
                 self.servers += 1;
                 Role::Server { busy: false, close: false }
             } else {
+                if self.peers_in >= self.max_peers_in {
+                    continue;
+                }
+                self.peers_in += 1;
                 // A peer says hello at once; a stranger is cut off.
                 Role::PeerIn { member: None }
             };
@@ -190,6 +200,8 @@
                 self.drive(token);
             } else if user {
                 self.servers -= 1;
+            } else {
+                self.peers_in -= 1;
             }
         }
     }
@@ -236,7 +248,7 @@
                 }
                 self.pump_queue();
             }
-            Role::PeerIn { .. } => {}
+            Role::PeerIn { .. } => self.peers_in -= 1,
             Role::PeerOut { member } => {
                 let retry_at = self.now() + self.slow / 8;
                 if let Some(link) = self.peers.get_mut(&member) {
