--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -2,7 +2,7 @@
 //! anew, closing finished records, renting machines and returning idle ones.
 //! Every write is conditional on the lead still being ours.
 
-use super::work::{HOPE, end_op};
+use super::work::{HOPE, end_op, queued};
 use super::*;
 use crate::coordination::blocks::{self, wanted_moves};
 use crate::fleet::{Demand, Offer, Rental, fits, wanted_rentals};
@@ -235,6 +235,8 @@
         let size = self.view.chunk_size;
         let rooms = self.rooms(true);
         let lasting = self.rooms_beside(true, Counted::Lasting);
+        let queues = self.queues();
+        let members: Vec<String> = self.view.members.keys().cloned().collect();
         let patient = self.report_s(0.25);
         let mut txns = Vec::new();
         for (uid, j) in &self.view.jobs {
@@ -254,20 +256,28 @@
             }
             let waits = j.waiting(size);
             let lost = dead && waits.iter().any(|i| holder(*i).is_none_or(|m| !self.view.members.contains_key(m)));
-            let room = blocks::room_by_member(&rooms, &j.spec);
-            let fit = |m: &str| room.get(m).map_or(0, |r| r.0);
+            // The queues of all others.
+            let mut others = queues.clone();
+            for (m, cores) in queued(j) {
+                if let Some(q) = others.get_mut(m) {
+                    *q = (*q - cores).max(0.0);
+                }
+            }
+            let seen = if self.counted(&j.spec) == Counted::All { &rooms } else { &lasting };
+            let blocks = blocks::Blocks { members: &members, rooms: seen, queues: &others, grain: 1 };
+            let room = blocks.room(&j.spec);
+            let fit = |m: &str| room.iter().find(|r| r.0 == m).map_or(0, |r| r.1);
             let mut need: BTreeMap<&str, u32> = BTreeMap::new();
             for m in waits.iter().filter_map(|i| holder(*i)) {
                 *need.entry(m).or_default() += 1;
             }
-            let short = need.iter().any(|(m, n)| fit(m) < *n);
-            let spare = room.iter().any(|(m, r)| r.0 > need.get(m).copied().unwrap_or(0));
+            let short = need.iter().any(|(m, n)| fit(m) < i64::from(*n));
+            let spare = room.iter().any(|(m, fits, _)| *fits > i64::from(need.get(m).copied().unwrap_or(0)));
             let helps = short && spare;
             if !lost && !helps {
                 continue;
             }
-            let seen = if self.counted(&j.spec) == Counted::All { &rooms } else { &lasting };
-            let new = self.shares_for(&j.spec, &waits, seen);
+            let new = self.shares_for(&j.spec, &waits, seen, &others);
             if new == *shares {
                 continue;
             }
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -81,12 +81,13 @@
             return self.refuse(conn, 422, "can never run");
         }
         let key = records::job_key(&spec.uid);
-        if self.busy.contains(&key) || !self.writes.has(self.now, 1.0) {
+        // Submissions go before all other writes, and may borrow from them.
+        if self.busy.contains(&key) || self.writes.level(self.now) < -self.writes.rate {
             return self.refuse(conn, 429, "too many submissions");
         }
         let uid = spec.uid.clone();
         let waits: Vec<u32> = (0..spec.parcels).collect();
-        let shares = self.shares_for(&spec, &waits, &self.rooms_beside(true, self.counted(&spec)));
+        let shares = self.shares_for(&spec, &waits, &self.rooms_beside(true, self.counted(&spec)), &self.queues());
         let rec = records::JobRec { parcels: spec.parcels, spec: Some(spec), end: None, at_ms: self.wall_ms(), shares };
         let txn = Txn {
             conds: vec![Cond { key: key.clone(), entry_no: 0 }],
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -12,7 +12,7 @@
 
 /// Tasks that fit nowhere are split among controllers in parts of a chunk's
 /// tasks divided by this, no smaller.
-const GRAINS: u32 = 4;
+const GRAINS: u32 = 8;
 /// Estimates are often wrong by half: a job counts as late once its aim would
 /// be missed by a run of this part of the estimate.
 pub(super) const HOPE: f64 = 0.7;
@@ -74,8 +74,9 @@
             let soon = self.aims.start_within(&job.spec).is_some();
             let last = job.withdrawn() || change.is_some_and(|c| self.ends_part(job, c));
             let (rank, need) = match () {
-                _ if soon && starts > 0 => (1, 2.0),
-                _ if last => (2, 2.0_f64.max(reserve)),
+                // As submissions, these may borrow from what waits.
+                _ if soon && starts > 0 => (1, -spare),
+                _ if last => (2, 1.0),
                 _ if starts + gone > 0 => (3, 2.0 + reserve),
                 _ => (3, 1.0 + spare),
             };
@@ -493,12 +494,46 @@
     }
 
     /// The job's leases, given everyone's rooms as `counted` says.
-    pub(super) fn shares_for(&self, spec: &JobSpec, waits: &[u32], rooms: &[(String, Room)]) -> Vec<Share> {
+    pub(super) fn shares_for(
+        &self,
+        spec: &JobSpec,
+        waits: &[u32],
+        rooms: &[(String, Room)],
+        queues: &BTreeMap<String, f64>,
+    ) -> Vec<Share> {
         let members: Vec<String> = self.view.members.keys().cloned().collect();
         let whole = spec.form == Form::Ensemble || spec.together || spec.apart;
         let grain = self.view.chunk_size / GRAINS;
-        blocks::lease(spec, waits, &members, rooms, &self.me, whole, grain)
+        let blocks = blocks::Blocks { members: &members, rooms, queues, grain };
+        blocks::lease(spec, waits, &blocks, &self.me, whole)
     }
+
+    /// Whether the job can still meet its aim, if its tasks started now.
+    fn can_be_saved(&self, job: &Job) -> bool {
+        let age_s = self.wall_ms().saturating_sub(job.rec.rec.at_ms) as f64 / 1000.0;
+        self.aims.end_within(&job.spec).is_none_or(|a| a - age_s >= job.spec.expected_s * HOPE)
+    }
+
+    /// Cores that waiting array tasks leased to each member ask for. Late jobs
+    /// do not count: they give way.
+    pub(super) fn queues(&self) -> BTreeMap<String, f64> {
+        let mut queues = BTreeMap::new();
+        for job in self.view.jobs.values().filter(|j| j.spec.form == Form::Batch) {
+            if job.waiting_count() > 0 && self.can_be_saved(job) {
+                for (member, cores) in queued(job) {
+                    *queues.entry(member.to_string()).or_default() += cores;
+                }
+            }
+        }
+        queues
+    }
+}
+
+/// Cores that the job's waiting tasks ask for, by the member they are leased
+/// to; of a job in several parts, as if all had run equally far.
+pub(super) fn queued(job: &Job) -> impl Iterator<Item = (&str, f64)> {
+    let each = f64::from(job.waiting_count()) * job.spec.cores / f64::from(job.spec.parcels.max(1));
+    job.rec.rec.shares.iter().map(move |s| (s.member.as_str(), f64::from(s.to + 1 - s.from) * each))
 }
 
 fn draft<'a>(chunks: &'a mut BTreeMap<u32, ChunkRec>, job: &Job, n: u32) -> &'a mut ChunkRec {
--- a/src/coordination/blocks.rs
+++ b/src/coordination/blocks.rs
@@ -87,52 +87,59 @@
     out
 }
 
+/// What a lease goes by besides the job itself.
+pub struct Blocks<'a> {
+    pub members: &'a [String],
+    /// Rooms of all blocks, with their holders.
+    pub rooms: &'a [(String, Room)],
+    /// Cores that tasks leased to each member wait for, ahead of the job's own.
+    pub queues: &'a BTreeMap<String, f64>,
+    /// Tasks that wait are not split finer: every part has its own writer.
+    pub grain: u32,
+}
+
+impl Blocks<'_> {
+    /// Tasks of the job that each member has room for once its queue is
+    /// served, less than none where the queue is longer; and those of them
+    /// that find the image.
+    pub fn room(&self, spec: &JobSpec) -> Vec<(&str, i64, u32)> {
+        let room = room_by_member(self.rooms, spec);
+        let queued = |m: &str| (self.queues.get(m).copied().unwrap_or(0.0) / spec.cores.max(f64::MIN_POSITIVE)) as i64;
+        let of = |m: &str| room.get(m).copied().unwrap_or_default();
+        self.members.iter().map(|m| (m.as_str(), i64::from(of(m).0) - queued(m), of(m).1)).collect()
+    }
+}
+
 /// Leases a job's tasks to the members whose blocks can hold them: whole to
-/// one where it fits, best where the image is; else by room; what fits nowhere
-/// is split evenly. `waits` are the tasks in question, all others go along.
-pub fn lease(
-    spec: &JobSpec,
-    waits: &[u32],
-    members: &[String],
-    rooms: &[(String, Room)],
-    me: &str,
-    whole: bool,
-    grain: u32,
-) -> Vec<Share> {
+/// one where it fits, best where the image is; else to the shortest queues.
+/// `waits` are the tasks in question, all others go along.
+pub fn lease(spec: &JobSpec, waits: &[u32], blocks: &Blocks, me: &str, whole: bool) -> Vec<Share> {
     let everything = |m: &str| vec![Share { member: m.to_string(), from: 0, to: spec.parcels - 1 }];
-    let room = room_by_member(rooms, spec);
     let n = waits.len() as u32;
-    let mut order: Vec<(&String, u32, u32)> = members
-        .iter()
-        .map(|m| {
-            let (fits, local) = room.get(m.as_str()).copied().unwrap_or_default();
-            (m, fits, local)
-        })
-        .collect();
+    let mut order = blocks.room(spec);
     order.sort_by_key(|(m, fits, local)| (std::cmp::Reverse((*local).min(n)), std::cmp::Reverse(*fits), *m != me));
-    let Some(first) = order.first() else {
+    let Some(best) = order.iter().max_by_key(|o| o.1) else {
         return everything(me);
     };
     if whole {
-        let best = order.iter().max_by_key(|o| o.1).unwrap_or(first);
         return everything(best.0);
     }
-    if let Some(holds) = order.iter().find(|o| o.1 >= n) {
+    if let Some(holds) = order.iter().find(|o| o.1 >= i64::from(n)) {
         return everything(holds.0);
     }
-    let fits: u32 = order.iter().map(|o| o.1).sum();
-    let rest = n.saturating_sub(fits);
-    // Every part has its own writer: what waits is not split finer than `grain`.
-    let k = (order.len() as u32).min(rest.div_ceil(grain.max(1))).max(1);
+    let grain = blocks.grain.max(1);
+    let mut parts = vec![0u32; order.len()];
+    let mut left = n;
+    while left > 0 {
+        let free = |i: &usize| order[*i].1 - i64::from(parts[*i]);
+        let Some(i) = (0..order.len()).max_by_key(|i| (free(i), std::cmp::Reverse(*i))) else { break };
+        let part = left.min(grain.max(free(&i).clamp(0, i64::from(n)) as u32));
+        parts[i] += part;
+        left -= part;
+    }
     let mut shares: Vec<Share> = Vec::new();
     let mut next = 0usize;
-    for (i, (m, fit, _)) in order.iter().enumerate() {
-        let i = i as u32;
-        let part = fit + if i < k { rest / k + u32::from(i < rest % k) } else { 0 };
-        let part = part.min(n - next as u32);
-        if part == 0 {
-            continue;
-        }
+    for ((m, ..), part) in order.iter().zip(parts).filter(|(_, part)| *part > 0) {
         let from = if next == 0 { 0 } else { waits[next] };
         if let Some(last) = shares.last_mut() {
             last.to = from - 1;
@@ -142,3 +149,26 @@
     }
     shares
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::protocol::user::tests::spec;
+
+    /// A job leased whole to a controller with a queue waited there while
+    /// other blocks stood free a second later.
+    #[test]
+    fn tasks_that_wait_go_to_the_shortest_queues() {
+        let mut s = spec("run-1");
+        s.cores = 1.0;
+        s.parcels = 30;
+        let members = ["a", "b", "c"].map(String::from);
+        let queues = BTreeMap::from([("a".to_string(), 40.0), ("b".to_string(), 5.0)]);
+        let blocks = Blocks { members: &members, rooms: &[], queues: &queues, grain: 10 };
+        let waits: Vec<u32> = (0..30).collect();
+        let shares = lease(&s, &waits, &blocks, "a", false);
+        let of = |m: &str| shares.iter().filter(|s| s.member == m).map(|s| s.to - s.from + 1).sum::<u32>();
+        assert_eq!((of("a"), of("b"), of("c")), (0, 10, 20));
+        assert_eq!(lease(&s, &waits, &blocks, "a", true)[0].member, "c");
+    }
+}
