Machines of a large rental are recorded in packs before they are up

Rentals for arrays also waited until none was needed for services.

Now: one record holds the like machines of a rental that go to one block; a key that changes with every pack keeps a machine from being recorded twice. A machine counts as up once somebody hears it. Waiting services count in the queues that leases go by (herds of services waited 50 s in full blocks). Idle machines go back a pack at a time; missed aims keep cheap ones 4 times as long instead of 20.

Ruled out on the way: preemption (blocks were full of services).

--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -174,7 +174,11 @@
     pub members: Versions<MemberRec>,
     pub lead: Option<Versioned<LeadRec>>,
     pub term: Option<Versioned<TermRec>>,
+    pub packs: Versions<PackRec>,
+    /// The machines of all packs, with their pack's version.
     pub hosts: Versions<HostRec>,
+    /// Version of the key that changes with every pack of several machines.
+    pub packs_version: u64,
     /// Counts the changes of `hosts`.
     pub hosts_changed: u64,
     pub jobs: BTreeMap<String, Job>,
@@ -203,9 +207,11 @@
             Some(Key::Lead) => keep(&mut self.lead, data, version),
             Some(Key::Member(name)) => keep_named(&mut self.members, name, data, version),
             Some(Key::Host(name)) => {
-                self.hosts_changed += 1;
-                keep_named(&mut self.hosts, name, data, version);
+                let old = self.packs.get(name).map_or(Vec::new(), |p| p.rec.machines.clone());
+                keep_named(&mut self.packs, name, data, version);
+                self.pack_changed(name, &old);
             }
+            Some(Key::Packs) => self.packs_version = version.max(self.packs_version),
             Some(Key::Team(name)) => {
                 let known = self.teams.entry(name.to_string()).or_default();
                 *known = version.max(*known);
@@ -224,6 +230,22 @@
         }
     }
 
+    /// Brings `hosts` in line with a pack that held `old` before.
+    fn pack_changed(&mut self, name: &str, old: &[String]) {
+        self.hosts_changed += 1;
+        let pack = self.packs.get(name);
+        for m in old {
+            if pack.is_none_or(|p| !p.rec.machines.contains(m)) {
+                self.hosts.remove(m);
+            }
+        }
+        if let Some(p) = pack {
+            for m in &p.rec.machines {
+                self.hosts.insert(m.clone(), Versioned { rec: p.rec.host(name, m), version: p.version });
+            }
+        }
+    }
+
     fn put_job(&mut self, uid: &str, rec: JobRec, version: u64) {
         if self.ended.contains_key(uid) {
             return;
@@ -300,11 +322,12 @@
             Some(Key::Lead) => forget(&mut self.lead, version),
             Some(Key::Member(name)) => forget_named(&mut self.members, name, version),
             Some(Key::Host(name)) => {
-                self.hosts_changed += 1;
-                forget_named(&mut self.hosts, name, version);
+                let old = self.packs.get(name).map_or(Vec::new(), |p| p.rec.machines.clone());
+                forget_named(&mut self.packs, name, version);
+                self.pack_changed(name, &old);
             }
             // Jobs are never deleted, and chunks only with their job's end.
-            Some(Key::Job(_) | Key::Chunk(..) | Key::Team(_)) | None => {}
+            Some(Key::Job(_) | Key::Chunk(..) | Key::Team(_) | Key::Packs) | None => {}
         }
     }
 
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -11,6 +11,9 @@
 pub const BARRIER_KEY: &str = "fq/none";
 pub const TERM_KEY: &str = "fq/term";
 pub const LEAD_KEY: &str = "fq/lead";
+/// Changed with every pack of several machines, so that none of them can be
+/// recorded a second time by a controller that has not seen the pack.
+pub const PACKS_KEY: &str = "fq/packs";
 
 /// A live controller; the key hangs on its lease. A restart is a new incarnation.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -80,10 +83,11 @@
     pub tries: u64,
 }
 
-/// A machine in the fleet and the controller whose block it belongs to.
+/// Like machines of the fleet and the controller whose block they belong to.
+/// Those of a large rental share a record, written before they are up: one
+/// record each, written as they report, would take all of the store's writes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct HostRec {
-    pub addr: String,
+pub struct PackRec {
     pub build: String,
     pub site: String,
     pub spot: bool,
@@ -91,12 +95,55 @@
     pub incarnation: u64,
     pub term: u64,
     pub epoch: u64,
-    /// It was up when the cluster began: the operators' own choice of size,
+    /// They were up when the cluster began: the operators' own choice of size,
     /// which is not undercut.
     #[serde(default)]
     pub base: bool,
-    /// Takes no new tasks and is returned once it is empty.
+    /// All of them; the first one's name is the record's.
+    pub machines: Vec<String>,
+    /// Those that take no new tasks and are returned once they are empty.
     #[serde(default)]
+    pub drain: Vec<String>,
+}
+
+impl PackRec {
+    /// One machine as its pack's record, of that name, has it.
+    pub fn host(&self, pack: &str, name: &str) -> HostRec {
+        HostRec {
+            pack: pack.to_string(),
+            build: self.build.clone(),
+            site: self.site.clone(),
+            spot: self.spot,
+            owner: self.owner.clone(),
+            incarnation: self.incarnation,
+            term: self.term,
+            epoch: self.epoch,
+            base: self.base,
+            drain: self.drain.iter().any(|m| m == name),
+        }
+    }
+
+    /// The record without some machines; `None` if none is left.
+    pub fn without(&self, names: &[String]) -> Option<PackRec> {
+        let mut rec = self.clone();
+        rec.machines.retain(|m| !names.contains(m));
+        rec.drain.retain(|m| !names.contains(m));
+        (!rec.machines.is_empty()).then_some(rec)
+    }
+}
+
+/// One machine of a pack.
+#[derive(Debug, Clone, PartialEq)]
+pub struct HostRec {
+    pub pack: String,
+    pub build: String,
+    pub site: String,
+    pub spot: bool,
+    pub owner: String,
+    pub incarnation: u64,
+    pub term: u64,
+    pub epoch: u64,
+    pub base: bool,
     pub drain: bool,
 }
 
@@ -118,7 +165,7 @@
     format!("fq/q/{name}")
 }
 
-pub fn host_key(name: &str) -> String {
+pub fn pack_key(name: &str) -> String {
     format!("fq/h/{name}")
 }
 
@@ -127,6 +174,7 @@
 pub enum Key<'a> {
     Term,
     Lead,
+    Packs,
     Member(&'a str),
     Job(&'a str),
     Chunk(&'a str, u32),
@@ -138,6 +186,7 @@
     match key {
         TERM_KEY => return Some(Key::Term),
         LEAD_KEY => return Some(Key::Lead),
+        PACKS_KEY => return Some(Key::Packs),
         _ => {}
     }
     let (kind, rest) = key.strip_prefix(PREFIX)?.split_once('/')?;
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -13,17 +13,20 @@
 use crate::protocol::store::{Cond, Op};
 use crate::protocol::user::{Form, JobSpec, Status};
 use crate::protocol::{decode, encode};
-use records::{HostRec, JobRec, LeadRec, TermRec};
+use records::{HostRec, JobRec, LeadRec, PackRec, TermRec};
 
 /// A job that will be late gets machines for one in this many of its tasks.
 const LATE_SHARE: u32 = 4;
 /// Tasks that waited this many boot times ago still count as pressure.
-const PRESSED_BOOTS: f64 = 4.0;
+const PRESSED_BOOTS: f64 = 2.0;
 /// Idle machines are kept this many times longer while aims are missed.
-const BEHIND_KEEPS: f64 = 20.0;
+const BEHIND_KEEPS: f64 = 4.0;
 /// Ordinary machines for arrays that may use spot ones are not rented while
 /// more than this part of what is up is booting.
 const GROWTH: f64 = 0.5;
+/// Rentals whose machines would take the leader's writes of this part of a
+/// second, one by one, are recorded together.
+const PACK_FROM: f64 = 0.5;
 /// The fleet is looked at this often while the machine list grows old.
 const FLEET_LAG_SHARE: f64 = 0.1;
 
@@ -45,6 +48,7 @@
             return;
         }
         self.grant_blocks();
+        self.enrol_rentals();
         if now >= self.relet_next {
             self.relet_next = now + self.report_s(0.25);
             self.close_jobs();
@@ -94,15 +98,14 @@
     /// reports to, under the leader's term and epoch 0, below any later grant:
     /// no earlier owner can exist. The leader levels the blocks afterwards.
     pub(super) fn enrol(&mut self, report: &Report) {
-        let key = records::host_key(&report.machine);
+        let key = records::pack_key(&report.machine);
         let led = self.leader_name().is_some() && self.view.is_live(&self.me, self.incarnation);
         // What can be started on machines that are known already comes first.
         let need = 1.0 + self.writes.rate * ACCEPT_RESERVE;
         if !led || self.busy.contains(&key) || self.gone.contains(&report.machine) || !self.may_write(need) {
             return;
         }
-        let rec = HostRec {
-            addr: report.addr.clone(),
+        let rec = PackRec {
             build: report.build.clone(),
             site: report.site.clone(),
             spot: report.spot,
@@ -111,15 +114,65 @@
             term: self.term(),
             epoch: 0,
             base: self.beginning(),
-            drain: false,
+            machines: vec![report.machine.clone()],
+            drain: Vec::new(),
         };
         let txn = Txn {
-            conds: vec![self.lead_cond(), Cond { key: key.clone(), entry_no: 0 }],
+            conds: vec![self.lead_cond(), self.packs_cond(), Cond { key: key.clone(), entry_no: 0 }],
             ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
         };
         self.txn_keyed(txn, Why::Enrol);
     }
 
+    /// Holds while no pack was written that this view does not know.
+    fn packs_cond(&self) -> Cond {
+        Cond { key: records::PACKS_KEY.into(), entry_no: self.view.packs_version }
+    }
+
+    /// Records the machines of a large rental before they are up, in packs for
+    /// the lightest blocks. Those of a small one are recorded as they report,
+    /// by whoever they report to. No machine may be in two packs: this is
+    /// conditional on none having a record of its own, and such records on no
+    /// pack having been written meanwhile.
+    pub(super) fn enrol_rentals(&mut self) {
+        if self.busy.contains(records::PACKS_KEY) || !self.am_leader() {
+            return;
+        }
+        let Some((offer, mut names)) = self.unrecorded.pop_front() else { return };
+        let st = &self.set.settings.state;
+        let members = self.view.members.len().max(1);
+        // Records and conditions of one transaction are limited.
+        names.truncate((st.txn_ops * 4).saturating_sub(2));
+        names.retain(|n| !self.view.hosts.contains_key(n));
+        if names.is_empty() {
+            return;
+        }
+        let size = names.len().div_ceil(members.min(st.txn_ops.saturating_sub(1).max(1)));
+        let owners = blocks::spread(&self.view, &offer.build, names.len(), size);
+        let mut txn = Txn { conds: vec![self.lead_cond(), self.packs_cond()], ops: Vec::new() };
+        txn.conds.extend(names.iter().map(|n| Cond { key: records::pack_key(n), entry_no: 0 }));
+        let count = records::to_value(&self.charter);
+        txn.ops.push(Op::Put { key: records::PACKS_KEY.into(), data: count, lease: None });
+        for (machines, owner) in names.chunks(size).zip(owners) {
+            let Some(to) = self.view.members.get(owner) else { continue };
+            let rec = PackRec {
+                build: offer.build.clone(),
+                site: offer.site.clone(),
+                spot: offer.spot,
+                owner: owner.to_string(),
+                incarnation: to.rec.incarnation,
+                term: self.term(),
+                epoch: 0,
+                base: false,
+                machines: machines.to_vec(),
+                drain: Vec::new(),
+            };
+            let key = records::pack_key(&machines[0]);
+            txn.ops.push(Op::Put { key, data: records::to_value(&rec), lease: None });
+        }
+        self.txn_keyed(txn, Why::Enrol);
+    }
+
     /// Whether this is the first report interval of the cluster's first term:
     /// nothing that we rented can be up yet.
     fn beginning(&self) -> bool {
@@ -142,21 +195,21 @@
         self.level_next = self.now + self.report_s(1.0);
         let mut txn = Txn { conds: vec![self.lead_cond()], ops: Vec::new() };
         for m in moves {
-            let key = records::host_key(&m.machine);
-            let (Some(h), Some(to)) = (self.view.hosts.get(&m.machine), self.view.members.get(&m.to)) else { continue };
+            let key = records::pack_key(&m.pack);
+            let (Some(p), Some(to)) = (self.view.packs.get(&m.pack), self.view.members.get(&m.to)) else { continue };
             if self.busy.contains(&key) {
                 continue;
             }
             self.epoch += 1;
-            let rec = HostRec {
+            let rec = PackRec {
                 owner: m.to.clone(),
                 incarnation: to.rec.incarnation,
                 term: self.term(),
                 epoch: self.epoch,
-                ..h.rec.clone()
+                ..p.rec.clone()
             };
-            tracing::debug!(machine = %m.machine, from = %h.rec.owner, to = %m.to, "machine granted");
-            txn.conds.push(Cond { key: key.clone(), entry_no: h.version });
+            tracing::debug!(pack = %m.pack, machines = rec.machines.len(), from = %p.rec.owner, to = %m.to, "machine granted");
+            txn.conds.push(Cond { key: key.clone(), entry_no: p.version });
             txn.ops.push(Op::Put { key, data: records::to_value(&rec), lease: None });
         }
         if !txn.ops.is_empty() {
@@ -165,7 +218,7 @@
     }
 
     /// Machines that reach another controller, but not their owner.
-    fn deaf_machines(&self) -> Vec<(String, String)> {
+    fn deaf_machines(&mut self) -> Vec<(String, String)> {
         let (deaf, near) = (self.report_s(3.0), self.report_s(1.5));
         let age = |member: &str, machine: &str| -> Option<Duration> {
             if member == self.me {
@@ -177,6 +230,9 @@
         };
         let mut out = Vec::new();
         for (name, h) in self.view.hosts.iter().filter(|(_, h)| self.view.owned(&h.rec)) {
+            if !self.is_up(name) {
+                continue;
+            }
             let current = h.rec.owner == self.me
                 || self.peers.get(&h.rec.owner).is_some_and(|p| self.now.saturating_sub(p.at) < near);
             if !current || age(&h.rec.owner, name).is_some_and(|a| a < deaf) {
@@ -193,6 +249,15 @@
                 out.push((name.clone(), m.clone()));
             }
         }
+        // One that has just come up reports to anybody first, and it takes a
+        // beat or two until its owner's word of it is here.
+        let now = self.now;
+        let before = std::mem::take(&mut self.deaf_since);
+        for (name, _) in &out {
+            let since = before.get(name).copied().unwrap_or(now);
+            self.deaf_since.insert(name.clone(), since);
+        }
+        out.retain(|(name, _)| self.deaf_since.get(name).is_some_and(|t| now.saturating_sub(*t) > near));
         out
     }
 
@@ -233,9 +298,7 @@
     /// another block has.
     fn relet(&mut self) {
         let size = self.view.chunk_size;
-        let rooms = self.rooms(true);
-        let lasting = self.rooms_beside(true, Counted::Lasting);
-        let queues = self.queues();
+        let seen = [Counted::All, Counted::Lasting].map(|c| (self.rooms_beside(true, c), self.queues(c)));
         let members: Vec<String> = self.view.members.keys().cloned().collect();
         let patient = self.report_s(0.25);
         let mut txns = Vec::new();
@@ -257,14 +320,15 @@
             let waits = j.waiting(size);
             let lost = dead && waits.iter().any(|i| holder(*i).is_none_or(|m| !self.view.members.contains_key(m)));
             // The queues of all others.
+            let soon = self.counted(&j.spec) == Counted::Lasting;
+            let (rooms, queues) = &seen[usize::from(soon)];
             let mut others = queues.clone();
             for (m, cores) in queued(j) {
                 if let Some(q) = others.get_mut(m) {
                     *q = (*q - cores).max(0.0);
                 }
             }
-            let seen = if self.counted(&j.spec) == Counted::All { &rooms } else { &lasting };
-            let blocks = blocks::Blocks { members: &members, rooms: seen, queues: &others, grain: 1 };
+            let blocks = blocks::Blocks { members: &members, rooms, queues: &others, grain: 1 };
             let room = blocks.room(&j.spec);
             let fit = |m: &str| room.iter().find(|r| r.0 == m).map_or(0, |r| r.1);
             let mut need: BTreeMap<&str, u32> = BTreeMap::new();
@@ -277,20 +341,22 @@
             if !lost && !helps {
                 continue;
             }
-            let new = self.shares_for(&j.spec, &waits, seen, &others);
+            let new = self.shares_for(&j.spec, &waits, rooms, &others);
             if new == *shares {
                 continue;
             }
             let key = records::job_key(uid);
             let rec = JobRec { shares: new, ..j.rec.rec.clone() };
-            txns.push(Txn {
+            let txn = Txn {
                 conds: vec![self.lead_cond(), Cond { key: key.clone(), entry_no: j.rec.version }],
                 ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
-            });
+            };
+            txns.push((!soon, !self.can_be_saved(j), txn));
         }
-        for txn in txns {
+        txns.sort_by_key(|t| (t.0, t.1));
+        for (can_wait, _, txn) in txns {
             // A reserve stays for accepting jobs and recording exits.
-            if self.may_write(self.writes.rate / 2.0) {
+            if self.may_write(if can_wait { self.writes.rate / 2.0 } else { 1.0 }) {
                 self.txn(txn, Why::Relet);
             }
         }
@@ -372,12 +438,11 @@
                 self.list_at = Some(self.now);
                 // A later list may be an older one, so what was rented stays on
                 // our own books until it reports or is given up.
-                let (hosts, types, now) = (&self.view.hosts, &self.types, self.now);
-                let late = self.set.operator.late_boots;
-                self.rented.retain(|name, r| {
-                    let boot = types.iter().find(|t| t.label == r.offer.build).map_or(0.0, |t| t.startup_s);
-                    !hosts.contains_key(name) && now.saturating_sub(r.at).as_secs_f64() < boot * late
+                let mut rented = std::mem::take(&mut self.rented);
+                rented.retain(|name, r| {
+                    !self.is_up(name) && self.now.saturating_sub(r.at).as_secs_f64() < self.late_s(&r.offer.build)
                 });
+                self.rented = rented;
             }
             Purpose::Rent { offer, number } => {
                 self.renting = self.renting.saturating_sub(1);
@@ -389,6 +454,10 @@
                             self.refused.insert(offer.clone(), self.now + self.secs(self.set.settings.workers.lease_s));
                         }
                         tracing::info!(build = %offer.build, site = %offer.site, spot = offer.spot, machines = names.len(), "machines rented");
+                        if names.len() as f64 >= self.writes.rate * PACK_FROM {
+                            self.unrecorded.push_back((offer.clone(), names.clone()));
+                            self.enrol_rentals();
+                        }
                         for n in names {
                             self.rented.insert(n, Rented { offer: offer.clone(), at: self.now });
                         }
@@ -411,8 +480,26 @@
     /// Machines that failed, or were rented and never came up, are returned.
     fn return_strays(&mut self) {
         let mut names = Vec::new();
+        // Recorded, but neither listed nor heard: it never comes up either.
+        let now = self.now;
+        let before = std::mem::take(&mut self.unseen_since);
+        let mut left = Vec::new();
+        let mut unseen = HashMap::new();
+        for (name, h) in self.view.hosts.iter().filter(|(name, _)| !self.is_up(name)) {
+            let since = before.get(name).copied().unwrap_or(now);
+            unseen.insert(name.clone(), since);
+            if self.gone.contains(name) {
+                left.push(name.clone());
+            } else if now.saturating_sub(since).as_secs_f64() > self.late_s(&h.rec.build)
+                && !self.releasing.contains(name)
+            {
+                names.push(name.clone());
+            }
+        }
+        self.unseen_since = unseen;
+        self.forget_machines(left);
         for (name, l) in &self.list {
-            let known = self.view.hosts.contains_key(name) || self.heard.contains_key(name);
+            let known = self.is_up(name) || names.contains(name);
             let late = l.phase != Phase::Failed && l.held_s > self.late_s(&l.build);
             if !known
                 && (late || l.phase == Phase::Failed)
@@ -432,7 +519,7 @@
     /// Free room that is there or on its way.
     pub(super) fn expected_rooms(&self, counted: Counted) -> Vec<Room> {
         let mut rooms: Vec<Room> = self.rooms_beside(true, counted).into_iter().map(|(_, r)| r).collect();
-        let coming = |name: &str| !self.view.hosts.contains_key(name) && !self.gone.contains(name);
+        let coming = |name: &str| !self.is_up(name) && !self.gone.contains(name);
         for (name, l) in &self.list {
             if matches!(l.phase, Phase::Booting | Phase::Running)
                 && coming(name)
@@ -462,7 +549,7 @@
     fn growing(&self, rooms: &[Room]) -> bool {
         let (mut up, mut boots) = (0.0, 0.0);
         for r in rooms {
-            let part = if self.view.hosts.contains_key(&r.machine) { &mut up } else { &mut boots };
+            let part = if self.is_up(&r.machine) { &mut up } else { &mut boots };
             *part += r.total_cores;
         }
         boots > up * GROWTH
@@ -544,9 +631,8 @@
         let (services, arrays) = self.demand(all.iter().map(|r| r.total_cores).sum(), self.growing(&all));
         let most = RENT_LIMIT * (self.cloud.level(self.now) as u32).max(1);
         let mut rentals = wanted_rentals(&services, self.expected_rooms(Counted::Lasting), &self.types, &refused, most);
-        if rentals.is_empty() {
-            rentals = wanted_rentals(&arrays, all, &self.types, &refused, most);
-        }
+        let left = most - rentals.iter().map(|r| r.number).sum::<u32>().min(most);
+        rentals.extend(wanted_rentals(&arrays, all, &self.types, &refused, left));
         // One request asks for so many at most.
         let parts = |r: Rental| {
             let n = r.number.div_ceil(RENT_LIMIT);
@@ -554,11 +640,13 @@
         };
         for mut r in rentals.into_iter().flat_map(parts) {
             // Machines on their way out are the quickest to have.
-            while let Some(name) = self.draining(&r.offer).filter(|_| r.number > 0 && self.may_write(1.0)) {
-                if !self.mark_drain(&name, false) {
+            while let Some((pack, mut names)) = self.draining(&r.offer).filter(|_| r.number > 0 && self.may_write(1.0))
+            {
+                names.truncate(r.number as usize);
+                if !self.mark_drain(&pack, &names, false) {
                     break;
                 }
-                r.number -= 1;
+                r.number -= names.len() as u32;
             }
             if r.number == 0 {
                 continue;
@@ -614,14 +702,14 @@
         };
         let (least_short, least_long) = (least(short), least(long));
         let standing = |name: &str| self.view.loads.get(name).is_some_and(|l| !l.standing.is_empty());
+        let pack_busy = |h: &HostRec| self.busy.contains(&records::pack_key(&h.pack));
         // Services are not moved for this; of the rest, the dearer kind goes
         // first, and then the least used.
         let mut able: Vec<&Room> = rooms
             .iter()
             .map(|(_, r)| r)
             .filter(|r| r.total_cores <= if r.spot { least_long } else { least_short } && !standing(&r.machine))
-            .filter(|r| self.view.hosts.get(&r.machine).is_some_and(|h| !h.rec.base))
-            .filter(|r| !self.busy.contains(&records::host_key(&r.machine)))
+            .filter(|r| self.view.hosts.get(&r.machine).is_some_and(|h| !h.rec.base && !pack_busy(&h.rec)))
             .collect();
         able.sort_by(|a, b| {
             let used = |r: &Room| r.total_cores - r.cores;
@@ -631,12 +719,15 @@
         let most = if self.may_write(0.0) { spare.max(0.0) as usize } else { 0 };
         let mut left = least_short.max(least_long);
         let mut chosen: Vec<(String, f64)> = Vec::new();
-        for r in able.into_iter().take(most) {
-            if r.total_cores > left {
-                break;
+        let mut packs: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for r in able {
+            let Some(h) = self.view.hosts.get(&r.machine) else { continue };
+            if r.total_cores > left || (packs.len() >= most && !packs.contains_key(&h.rec.pack)) {
+                continue;
             }
             left -= r.total_cores;
             chosen.push((r.machine.clone(), r.cores));
+            packs.entry(h.rec.pack.clone()).or_default().push(r.machine.clone());
         }
         if chosen.is_empty() {
             return;
@@ -651,8 +742,9 @@
         if !fits(&services, &mut stays(lasting)) || !fits(&arrays, &mut stays(rooms)) {
             return;
         }
-        for (name, cores) in chosen {
-            if self.mark_drain(&name, true) {
+        for (pack, names) in packs {
+            if self.mark_drain(&pack, &names, true) {
+                let cores: f64 = chosen.iter().filter(|c| names.contains(&c.0)).map(|c| c.1).sum();
                 for s in &mut self.slack {
                     s.1 -= cores;
                 }
@@ -660,27 +752,33 @@
         }
     }
 
-    fn mark_drain(&mut self, name: &str, drain: bool) -> bool {
-        let key = records::host_key(name);
-        let Some(h) = self.view.hosts.get(name) else { return false };
-        if self.busy.contains(&key) {
-            return false;
-        }
-        tracing::debug!(machine = %name, drain, "machine marked");
-        let rec = HostRec { drain, ..h.rec.clone() };
+    /// Marks machines of one pack.
+    fn mark_drain(&mut self, pack: &str, names: &[String], drain: bool) -> bool {
+        let key = records::pack_key(pack);
+        let Some(p) = self.view.packs.get(pack).filter(|_| !self.busy.contains(&key)) else { return false };
+        tracing::debug!(machines = ?names, drain, "machines marked");
+        let mut rec = p.rec.clone();
+        rec.drain.retain(|m| !names.contains(m));
+        if drain {
+            rec.drain.extend_from_slice(names);
+        }
         let txn = Txn {
-            conds: vec![self.lead_cond(), Cond { key: key.clone(), entry_no: h.version }],
+            conds: vec![self.lead_cond(), Cond { key: key.clone(), entry_no: p.version }],
             ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
         };
         self.txn_keyed(txn, Why::Mark);
         true
     }
 
-    /// A machine of this kind that is being drained, and not released yet.
-    fn draining(&self, offer: &Offer) -> Option<String> {
-        let same = |h: &HostRec| h.drain && h.build == offer.build && h.site == offer.site && h.spot == offer.spot;
-        let placed = |name: &str| self.view.placed.contains_key(name);
-        let found = self.view.hosts.iter().find(|(n, h)| same(&h.rec) && placed(n) && self.view.owned(&h.rec));
-        found.map(|(n, _)| n.clone())
+    /// Machines of a kind, in one pack, that are being drained and not released yet.
+    fn draining(&self, offer: &Offer) -> Option<(String, Vec<String>)> {
+        let same = |p: &PackRec| p.build == offer.build && p.site == offer.site && p.spot == offer.spot;
+        let live = |p: &PackRec| self.view.is_live(&p.owner, p.incarnation);
+        let mut packs = self.view.packs.iter().filter(|(_, p)| !p.rec.drain.is_empty() && same(&p.rec) && live(&p.rec));
+        packs.find_map(|(pack, p)| {
+            let kept: Vec<String> = p.rec.drain.iter().filter(|m| self.view.placed.contains_key(*m)).cloned().collect();
+            let free = !self.busy.contains(&records::pack_key(pack));
+            (free && !kept.is_empty()).then(|| (pack.clone(), kept))
+        })
     }
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -248,6 +248,12 @@
     list_next: Instant,
     list_busy: bool,
     rented: BTreeMap<String, Rented>,
+    /// Rentals whose machines shall be recorded together.
+    unrecorded: VecDeque<(crate::fleet::Offer, Vec<String>)>,
+    /// Recorded machines that nobody hears, and since when.
+    unseen_since: HashMap<String, Instant>,
+    /// Machines that seem not to reach their owner, and since when.
+    deaf_since: HashMap<String, Instant>,
     renting: u32,
     refused: BTreeMap<crate::fleet::Offer, Instant>,
     /// Free cores of late, for the least that stayed free.
@@ -323,6 +329,9 @@
             list_next: Duration::ZERO,
             list_busy: false,
             rented: BTreeMap::new(),
+            unrecorded: VecDeque::new(),
+            unseen_since: HashMap::new(),
+            deaf_since: HashMap::new(),
             renting: 0,
             refused: BTreeMap::new(),
             slack: VecDeque::new(),
@@ -584,6 +593,7 @@
                 self.list_at = None;
                 tracing::info!(term, member = %self.me, "took the lead");
             }
+            Why::Enrol => self.enrol_rentals(),
             _ => {}
         }
         self.view_changed();
@@ -624,12 +634,17 @@
         if self.led_since.is_none() && self.view.lead.is_some() {
             self.led_since = Some(self.now);
         }
-        if self.fleet_since_ms.is_none() && !self.view.hosts.is_empty() {
+        if self.fleet_since_ms.is_none() && self.view.hosts.keys().any(|h| self.is_up(h)) {
             self.fleet_since_ms = Some(self.wall_ms());
             let boot = self.types.iter().map(|t| t.startup_s).fold(f64::INFINITY, f64::min);
             self.fleet_cold = self.now.as_secs_f64() > boot / 2.0;
         }
         for (spec, at_ms) in std::mem::take(&mut self.view.finished) {
+            if self.am_leader() {
+                let took_s = self.wall_ms().saturating_sub(at_ms) as f64 / 1000.0;
+                let aim_s = self.aims.end_within(&spec);
+                tracing::debug!(job = %spec.uid, class = %spec.docket, took_s, aim_s, "done");
+            }
             if !self.missed.remove(&spec.uid) {
                 self.note_end(&spec, at_ms);
             }
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -211,11 +211,11 @@
         }
         let (wanted, kept) = self.wanted(name);
         let silent = self.report_s(2.0);
-        let Some(host) = self.view.hosts.get(name).filter(|h| self.view.revision >= h.version) else {
+        if self.view.hosts.get(name).is_none_or(|h| self.view.revision < h.version) {
             return;
-        };
-        let Ok(addr) = host.rec.addr.parse() else { return };
+        }
         let Some(m) = self.machines.get_mut(name) else { return };
+        let Ok(addr) = m.addr.parse() else { return };
         if m.heard_at.is_none_or(|t| self.now.saturating_sub(t) > silent) {
             return;
         }
@@ -296,6 +296,8 @@
                 && !self.view.placed.contains_key(name);
             if drained && !m.releasing {
                 silent.push((name.clone(), true));
+            } else if m.heard_at.is_none() && !self.view.placed.contains_key(name) {
+                // It was rented and may be booting: the leader waits for it.
             } else if now.saturating_sub(last) > limit && !m.releasing && !self.peers_hear(name) {
                 silent.push((name.clone(), false));
             }
@@ -381,17 +383,38 @@
                 None => {}
             }
         }
-        for name in bare {
-            let key = records::host_key(&name);
-            let Some(h) = self.view.hosts.get(&name) else { continue };
-            if h.version > self.view.revision || self.busy.contains(&key) || !self.may_write(1.0) {
+        self.forget_machines(bare);
+    }
+
+    /// Machines that are gone, and hold no places, leave the records.
+    pub(super) fn forget_machines(&mut self, names: Vec<String>) {
+        let mut by_pack: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for name in names {
+            if let Some(h) = self.view.hosts.get(&name) {
+                by_pack.entry(h.rec.pack.clone()).or_default().push(name);
+            }
+        }
+        for (pack, names) in by_pack {
+            let key = records::pack_key(&pack);
+            let Some(p) = self.view.packs.get(&pack) else { continue };
+            if p.version > self.view.revision || self.busy.contains(&key) || !self.may_write(1.0) {
                 continue;
             }
-            let txn = Txn {
-                conds: vec![store::Cond { key: key.clone(), entry_no: h.version }],
-                ops: vec![store::Op::Delete { key }],
+            let op = match p.rec.without(&names) {
+                Some(rec) => store::Op::Put { key: key.clone(), data: records::to_value(&rec), lease: None },
+                None => store::Op::Delete { key: key.clone() },
             };
+            let txn = Txn { conds: vec![store::Cond { key, entry_no: p.version }], ops: vec![op] };
             self.txn_keyed(txn, Why::Forget);
         }
     }
+
+    /// Whether the machine has come up, as far as is known here: it runs
+    /// something, or some controller hears it.
+    pub(super) fn is_up(&self, name: &str) -> bool {
+        self.view.loads.contains_key(name)
+            || self.heard.contains_key(name)
+            || self.machines.get(name).is_some_and(|m| m.heard_at.is_some())
+            || self.peers.values().any(|p| p.heard.contains_key(name))
+    }
 }
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -87,7 +87,8 @@
         }
         let uid = spec.uid.clone();
         let waits: Vec<u32> = (0..spec.parcels).collect();
-        let shares = self.shares_for(&spec, &waits, &self.rooms_beside(true, self.counted(&spec)), &self.queues());
+        let counted = self.counted(&spec);
+        let shares = self.shares_for(&spec, &waits, &self.rooms_beside(true, counted), &self.queues(counted));
         let rec = records::JobRec { parcels: spec.parcels, spec: Some(spec), end: None, at_ms: self.wall_ms(), shares };
         let txn = Txn {
             conds: vec![Cond { key: key.clone(), entry_no: 0 }],
@@ -100,6 +101,10 @@
     pub(super) fn accept_answer(&mut self, uid: &str, done: bool, status: u16, beaten: Option<u64>) {
         let conns = self.accepting.remove(uid).unwrap_or_default();
         if done {
+            if let Some(j) = self.view.jobs.get(uid) {
+                let to: Vec<&str> = j.rec.rec.shares.iter().map(|s| s.member.as_str()).collect();
+                tracing::debug!(job = %uid, class = %j.spec.docket, tasks = j.spec.parcels, ?to, "accepted");
+            }
             let body = encode(&JobState { uid, status: Status::Pending, done: 0, running: 0 });
             for conn in conns {
                 self.respond(conn, 201, body.clone());
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -172,10 +172,9 @@
         }
         let mut txn = Txn::default();
         txn.conds.push(Cond { key: key.clone(), entry_no: job.rec.version });
-        for m in &machines {
-            let version = self.view.hosts.get(m).map_or(0, |h| h.version);
-            txn.conds.push(Cond { key: records::host_key(m), entry_no: version });
-        }
+        let hosts = machines.iter().filter_map(|m| self.view.hosts.get(m));
+        let packs: BTreeMap<&str, u64> = hosts.map(|h| (h.rec.pack.as_str(), h.version)).collect();
+        txn.conds.extend(packs.iter().map(|(p, v)| Cond { key: records::pack_key(p), entry_no: *v }));
         // Zones are counted over the whole job, so all of it must be as seen.
         let whole = job.spec.together || job.spec.apart;
         for (n, c) in &job.chunks {
@@ -238,7 +237,7 @@
         for (name, h) in &self.view.hosts {
             let mine = self.owns(h);
             let Some(t) = self.machine_type(&h.rec.build) else { continue };
-            if h.rec.drain || (!mine && !everyone) || !self.view.owned(&h.rec) {
+            if h.rec.drain || (!mine && !everyone) || !self.view.owned(&h.rec) || !self.is_up(name) {
                 continue;
             }
             let mut room = Room::empty(name, t, &h.rec.site, h.rec.spot);
@@ -509,17 +508,18 @@
     }
 
     /// Whether the job can still meet its aim, if its tasks started now.
-    fn can_be_saved(&self, job: &Job) -> bool {
+    pub(super) fn can_be_saved(&self, job: &Job) -> bool {
         let age_s = self.wall_ms().saturating_sub(job.rec.rec.at_ms) as f64 / 1000.0;
         self.aims.end_within(&job.spec).is_none_or(|a| a - age_s >= job.spec.expected_s * HOPE)
     }
 
-    /// Cores that waiting array tasks leased to each member ask for. Late jobs
-    /// do not count: they give way.
-    pub(super) fn queues(&self) -> BTreeMap<String, f64> {
+    /// Cores that waiting tasks leased to each member ask for, of services
+    /// that must start soon or of all others. Late jobs do not count: they
+    /// give way.
+    pub(super) fn queues(&self, counted: Counted) -> BTreeMap<String, f64> {
         let mut queues = BTreeMap::new();
-        for job in self.view.jobs.values().filter(|j| j.spec.form == Form::Batch) {
-            if job.waiting_count() > 0 && self.can_be_saved(job) {
+        for job in self.view.jobs.values().filter(|j| j.waiting_count() > 0) {
+            if self.counted(&job.spec) == counted && self.can_be_saved(job) {
                 for (member, cores) in queued(job) {
                     *queues.entry(member.to_string()).or_default() += cores;
                 }
--- a/src/coordination/blocks.rs
+++ b/src/coordination/blocks.rs
@@ -2,15 +2,15 @@
 //! the leader wants, as pure functions over the view.
 
 use crate::bookkeeping::View;
-use crate::bookkeeping::records::Share;
+use crate::bookkeeping::records::{PackRec, Share};
 use crate::placement::Room;
 use crate::protocol::user::JobSpec;
 use std::collections::BTreeMap;
 
-/// One machine that shall go to another controller.
+/// Machines that share a record and shall go to another controller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Move {
-    pub machine: String,
+    pub pack: String,
     pub to: String,
 }
 
@@ -23,20 +23,24 @@
     let mut moves = Vec::new();
     let mut load: BTreeMap<(&str, &str), i64> = BTreeMap::new();
     let mut total: BTreeMap<&str, i64> = view.members.keys().map(|m| (m.as_str(), 0)).collect();
-    for h in view.hosts.values().filter(|h| view.owned(&h.rec)) {
-        *load.entry((&h.rec.build, &h.rec.owner)).or_default() += 1;
-        *total.entry(&h.rec.owner).or_default() += 1;
+    let owned = |p: &PackRec| view.is_live(&p.owner, p.incarnation);
+    for p in view.packs.values().filter(|p| owned(&p.rec)) {
+        *load.entry((&p.rec.build, &p.rec.owner)).or_default() += p.rec.machines.len() as i64;
+        *total.entry(&p.rec.owner).or_default() += p.rec.machines.len() as i64;
     }
-    for (name, h) in view.hosts.iter().filter(|(_, h)| !view.owned(&h.rec)) {
-        let build = h.rec.build.as_str();
+    for (name, p) in view.packs.iter().filter(|(_, p)| !owned(&p.rec)) {
+        let build = p.rec.build.as_str();
         let Some(to) = lightest(&load, &total, build) else { break };
-        *load.entry((build, to)).or_default() += 1;
-        *total.entry(to).or_default() += 1;
-        moves.push(Move { machine: name.clone(), to: to.to_string() });
+        *load.entry((build, to)).or_default() += p.rec.machines.len() as i64;
+        *total.entry(to).or_default() += p.rec.machines.len() as i64;
+        moves.push(Move { pack: name.clone(), to: to.to_string() });
     }
     for (machine, to) in deaf {
-        if view.members.contains_key(to) && view.hosts.get(machine).is_some_and(|h| h.rec.owner != *to) {
-            moves.push(Move { machine: machine.clone(), to: to.clone() });
+        if let Some(h) = view.hosts.get(machine).filter(|h| h.rec.owner != *to)
+            && view.members.contains_key(to)
+            && !moves.iter().any(|m| m.pack == h.rec.pack)
+        {
+            moves.push(Move { pack: h.rec.pack.clone(), to: to.clone() });
         }
     }
     if moves.is_empty() && may_level {
@@ -50,7 +54,25 @@
     total.iter().min_by_key(|(m, n)| (load.get(&(build, **m)).copied().unwrap_or(0), **n)).map(|(m, _)| *m)
 }
 
-/// One machine from the heaviest block to the lightest, where that levels them.
+/// The lightest of `members` for each of so many machines of a type.
+pub fn spread<'a>(view: &'a View, build: &str, machines: usize, pack: usize) -> Vec<&'a str> {
+    let mut load: BTreeMap<(&str, &str), i64> = BTreeMap::new();
+    let mut total: BTreeMap<&str, i64> = view.members.keys().map(|m| (m.as_str(), 0)).collect();
+    for p in view.packs.values() {
+        *load.entry((&p.rec.build, &p.rec.owner)).or_default() += p.rec.machines.len() as i64;
+        total.entry(&p.rec.owner).and_modify(|n| *n += p.rec.machines.len() as i64);
+    }
+    let mut out = Vec::new();
+    for _ in 0..machines.div_ceil(pack.max(1)) {
+        let Some(to) = lightest(&load, &total, build) else { break };
+        out.push(to);
+        *load.entry((build, to)).or_default() += pack as i64;
+        total.entry(to).and_modify(|n| *n += pack as i64);
+    }
+    out
+}
+
+/// One pack from the heaviest block to the lightest, where that levels them.
 fn level(view: &View, load: &BTreeMap<(&str, &str), i64>, total: &BTreeMap<&str, i64>) -> Option<Move> {
     let builds: std::collections::BTreeSet<&str> = load.keys().map(|k| k.0).collect();
     for build in builds {
@@ -58,13 +80,19 @@
         let low = total.keys().min_by_key(|m| (of(m), total[**m]))?;
         let high = total.keys().max_by_key(|m| (of(m), total[**m]))?;
         if of(high) - of(low) >= 2 {
-            let machine = view
-                .hosts
+            let most = (of(high) - of(low)) / 2;
+            let placed =
+                |p: &PackRec| p.machines.iter().map(|m| view.placed.get(m).map_or(0, |p| p.len())).sum::<usize>();
+            let pack = view
+                .packs
                 .iter()
-                .filter(|(_, h)| h.rec.build == build && h.rec.owner == *high && view.owned(&h.rec))
-                .min_by_key(|(name, _)| view.placed.get(*name).map_or(0, |p| p.len()))
-                .map(|(name, _)| name.clone())?;
-            return Some(Move { machine, to: low.to_string() });
+                .filter(|(_, p)| p.rec.build == build && p.rec.owner == *high && p.rec.machines.len() as i64 <= most)
+                .filter(|(_, p)| view.is_live(&p.rec.owner, p.rec.incarnation))
+                .min_by_key(|(_, p)| placed(&p.rec))
+                .map(|(name, _)| name.clone());
+            if let Some(pack) = pack {
+                return Some(Move { pack, to: low.to_string() });
+            }
         }
     }
     None
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -36,6 +36,8 @@
     /// The highest token the worker says it has seen.
     pub warrant: u64,
     pub recall_s: Option<f64>,
+    /// Where it takes orders, by its own report.
+    pub addr: String,
     pub tasks: Vec<Seen>,
     /// Of those, the ones that have exited: they take no room any more.
     ended: BTreeSet<(String, u32, u64)>,
@@ -73,6 +75,7 @@
             at: (0, 0),
             warrant: 0,
             recall_s: None,
+            addr: String::new(),
             tasks: Vec::new(),
             ended: BTreeSet::new(),
             heard_at: None,
@@ -114,6 +117,9 @@
         self.at = at;
         self.warrant = report.warrant;
         self.recall_s = report.recall_s;
+        if self.addr != report.addr {
+            self.addr.clone_from(&report.addr);
+        }
         self.tasks = report
             .tasks
             .iter()
