--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -211,13 +211,23 @@
     value.deserialized().ok()
 }
 
-/// Tasks per chunk, such that a chunk's record fits the store's value limit
-/// whatever mix of its tasks is started or done: a place takes at most 24
-/// bytes and the machine's name.
+/// Tasks per chunk. Its record stays well below the store's value limit
+/// whatever mix of its tasks is started or done; chunks are what a job is split
+/// by among controllers, so that several can start it side by side.
 pub fn chunk_size(value_kb: f64) -> u32 {
-    ((value_kb * 1024.0 / 48.0) as u32).clamp(8, 512)
+    ((value_kb * 1024.0 / CHUNK_SHARE) as u32 / PLACE_BYTES).clamp(8, 512)
 }
 
+/// The most that the record of a chunk takes.
+pub fn chunk_bytes(size: u32) -> usize {
+    (size * PLACE_BYTES) as usize
+}
+
+/// A place takes at most 24 bytes and the machine's name.
+const PLACE_BYTES: u32 = 48;
+/// A chunk may take the value limit divided by this.
+const CHUNK_SHARE: f64 = 4.0;
+
 /// Marks `index` in a sorted list of inclusive ranges.
 pub fn add_to_ranges(ranges: &mut Vec<(u32, u32)>, index: u32) {
     let at = ranges.partition_point(|r| r.1 < index);
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -17,10 +17,11 @@
 
 /// A job that will be late gets machines for one in this many of its tasks.
 const LATE_SHARE: u32 = 4;
-/// Tasks that waited this many boot times ago still count as pressure.
-const PRESSED_BOOTS: f64 = 2.0;
+/// Tasks that waited this many boot times ago still count as pressure; the
+/// second holds while thrift is due.
+const PRESSED_BOOTS: [f64; 2] = [4.0, 1.0];
 /// Idle machines are kept this many times longer while aims are missed.
-const BEHIND_KEEPS: f64 = 4.0;
+const BEHIND_KEEPS: [f64; 2] = [20.0, 4.0];
 /// Ordinary machines for arrays that may use spot ones are not rented while
 /// more than this part of what is up is booting.
 const GROWTH: f64 = 0.5;
@@ -555,10 +556,23 @@
         boots > up * GROWTH
     }
 
+    /// Whether more is rented than stands there by the operators' own choice.
+    /// Up to that, machines for late work are a small part of the cost and are
+    /// rented freely; beyond it they are most of it.
+    fn thrift(&self, rooms: &[Room]) -> bool {
+        let base = |r: &Room| self.view.hosts.get(&r.machine).is_some_and(|h| h.rec.base);
+        let stands: f64 = rooms.iter().filter(|r| base(r)).map(|r| r.total_cores).sum();
+        rooms.iter().map(|r| r.total_cores).sum::<f64>() > stands * 2.0
+    }
+
     /// Waiting tasks: first those of services that must start soon, with room
     /// to spare for them, then all others. The first may count on room that
     /// arrays use, since those can be preempted.
-    fn demand(&self, cores: f64, growing: bool) -> (Vec<Demand<'_>>, Vec<Demand<'_>>) {
+    fn demand(&self, rooms: &[Room]) -> (Vec<Demand<'_>>, Vec<Demand<'_>>) {
+        let cores: f64 = rooms.iter().map(|r| r.total_cores).sum();
+        let thrift = self.thrift(rooms);
+        let growing = thrift && self.growing(rooms);
+        let all_saved = !thrift && self.aims.behind();
         let boot = self.types.iter().map(|t| t.startup_s).fold(f64::MAX, f64::min);
         let (mut services, mut arrays) = (Vec::new(), Vec::new());
         let mut run = (0.0, 0.0);
@@ -567,10 +581,12 @@
         for j in self.view.jobs.values().filter(|j| !j.withdrawn()) {
             let mut n = j.waiting_count();
             // A machine rented now does not save a job that will be late all
-            // the same: it makes do with less.
+            // the same: it makes do with less, unless aims are missed and
+            // machines are cheap beside what stands there.
             let age_s = self.wall_ms().saturating_sub(j.rec.rec.at_ms) as f64 / 1000.0;
             let aim_s = self.aims.end_within(&j.spec);
             let lost = aim_s.is_some_and(|a| a - age_s < boot + j.spec.expected_s * HOPE);
+            let lost = lost && !all_saved;
             if lost {
                 n = n.div_ceil(LATE_SHARE);
             }
@@ -614,7 +630,13 @@
         let mut split = Vec::new();
         for (slack_s, d) in arrays {
             let turns = (freed_per_s * slack_s.max(0.0) - before).max(0.0) / d.spec.cores.max(f64::MIN_POSITIVE);
-            let waits = if d.thrifty { d.tasks } else { turns.min(f64::from(d.tasks)) as u32 };
+            let waits = if d.thrifty {
+                d.tasks
+            } else if !thrift {
+                0
+            } else {
+                turns.min(f64::from(d.tasks)) as u32
+            };
             before += f64::from(waits) * d.spec.cores;
             let part = |tasks, thrifty| Demand { spec: d.spec, tasks, thrifty };
             split.extend([part(d.tasks - waits, false), part(waits, true)].into_iter().filter(|d| d.tasks > 0));
@@ -628,7 +650,7 @@
         }
         let refused: BTreeSet<Offer> = self.refused.keys().cloned().collect();
         let all = self.expected_rooms(Counted::All);
-        let (services, arrays) = self.demand(all.iter().map(|r| r.total_cores).sum(), self.growing(&all));
+        let (services, arrays) = self.demand(&all);
         let most = RENT_LIMIT * (self.cloud.level(self.now) as u32).max(1);
         let mut rentals = wanted_rentals(&services, self.expected_rooms(Counted::Lasting), &self.types, &refused, most);
         let left = most - rentals.iter().map(|r| r.number).sum::<u32>().min(most);
@@ -683,14 +705,16 @@
         if waits {
             self.pressed_at = Some(now);
         }
+        let plain: Vec<Room> = rooms.iter().map(|(_, r)| r.clone()).collect();
+        let thrift = usize::from(self.thrift(&plain));
         // Missed aims are a reason to keep machines only where tasks waited of late.
-        let pressed = self.pressed_at.is_some_and(|t| now.saturating_sub(t) < self.secs(boot * PRESSED_BOOTS));
-        let keeps = if pressed && self.aims.behind() { BEHIND_KEEPS } else { 1.0 };
+        let pressed = self.pressed_at.is_some_and(|t| now.saturating_sub(t) < self.secs(boot * PRESSED_BOOTS[thrift]));
+        let keeps = if pressed && self.aims.behind() { BEHIND_KEEPS[thrift] } else { 1.0 };
         let free: f64 = rooms.iter().map(|(_, r)| r.cores.max(0.0)).sum();
         self.slack.push_back((now, free));
         let window = |times: f64| self.secs(boot * self.set.operator.idle_boots * times);
         let (short, long) = (window(1.0), window(keeps));
-        let longest = window(BEHIND_KEEPS);
+        let longest = window(BEHIND_KEEPS[0]);
         while self.slack.front().is_some_and(|(t, _)| now.saturating_sub(*t) > longest) {
             self.slack.pop_front();
         }
@@ -708,7 +732,9 @@
         let mut able: Vec<&Room> = rooms
             .iter()
             .map(|(_, r)| r)
-            .filter(|r| r.total_cores <= if r.spot { least_long } else { least_short } && !standing(&r.machine))
+            .filter(|r| {
+                r.total_cores <= if r.spot || thrift == 0 { least_long } else { least_short } && !standing(&r.machine)
+            })
             .filter(|r| self.view.hosts.get(&r.machine).is_some_and(|h| !h.rec.base && !pack_busy(&h.rec)))
             .collect();
         able.sort_by(|a, b| {
@@ -732,8 +758,7 @@
         if chosen.is_empty() {
             return;
         }
-        let cores = rooms.iter().map(|(_, r)| r.total_cores).sum();
-        let (services, arrays) = self.demand(cores, false);
+        let (services, arrays) = self.demand(&plain);
         let stays = |rooms: Vec<(String, Room)>| -> Vec<Room> {
             let gone: BTreeSet<&str> = chosen.iter().map(|c| c.0.as_str()).collect();
             rooms.into_iter().map(|(_, r)| r).filter(|r| !gone.contains(r.machine.as_str())).collect()
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -10,9 +10,6 @@
 use crate::protocol::user::{Form, JobSpec, Status};
 use crate::settings::Team;
 
-/// Tasks that fit nowhere are split among controllers in parts of a chunk's
-/// tasks divided by this, no smaller.
-const GRAINS: u32 = 8;
 /// Estimates are often wrong by half: a job counts as late once its aim would
 /// be missed by a run of this part of the estimate.
 pub(super) const HOPE: f64 = 0.7;
@@ -163,7 +160,8 @@
             return;
         }
         let st = &self.set.settings.state;
-        let most = ((64.0 * CHUNK_SHARE / st.value_kb) as usize).clamp(1, st.txn_ops.saturating_sub(2).max(1));
+        let most = (64.0 * 1024.0 * CHUNK_SHARE) as usize / records::chunk_bytes(size);
+        let most = most.clamp(1, st.txn_ops.saturating_sub(2).max(1));
         if chunks.len() > most {
             if job.spec.form == Form::Ensemble {
                 return; // all or nothing, and all does not fit
@@ -502,8 +500,7 @@
     ) -> Vec<Share> {
         let members: Vec<String> = self.view.members.keys().cloned().collect();
         let whole = spec.form == Form::Ensemble || spec.together || spec.apart;
-        let grain = self.view.chunk_size / GRAINS;
-        let blocks = blocks::Blocks { members: &members, rooms, queues, grain };
+        let blocks = blocks::Blocks { members: &members, rooms, queues, grain: self.view.chunk_size };
         blocks::lease(spec, waits, &blocks, &self.me, whole)
     }
 
--- a/src/coordination/blocks.rs
+++ b/src/coordination/blocks.rs
@@ -122,7 +122,8 @@
     pub rooms: &'a [(String, Room)],
     /// Cores that tasks leased to each member wait for, ahead of the job's own.
     pub queues: &'a BTreeMap<String, f64>,
-    /// Tasks that wait are not split finer: every part has its own writer.
+    /// Tasks whose state shares a record: they are not split, so that every
+    /// record has one writer.
     pub grain: u32,
 }
 
@@ -156,24 +157,22 @@
         return everything(holds.0);
     }
     let grain = blocks.grain.max(1);
-    let mut parts = vec![0u32; order.len()];
-    let mut left = n;
-    while left > 0 {
-        let free = |i: &usize| order[*i].1 - i64::from(parts[*i]);
-        let Some(i) = (0..order.len()).max_by_key(|i| (free(i), std::cmp::Reverse(*i))) else { break };
-        let part = left.min(grain.max(free(&i).clamp(0, i64::from(n)) as u32));
-        parts[i] += part;
-        left -= part;
-    }
+    let mut given = vec![0i64; order.len()];
     let mut shares: Vec<Share> = Vec::new();
-    let mut next = 0usize;
-    for ((m, ..), part) in order.iter().zip(parts).filter(|(_, part)| *part > 0) {
-        let from = if next == 0 { 0 } else { waits[next] };
-        if let Some(last) = shares.last_mut() {
-            last.to = from - 1;
+    for part in waits.chunk_by(|a, b| a / grain == b / grain) {
+        let free = |i: &usize| order[*i].1 - given[*i];
+        let Some(i) = (0..order.len()).max_by_key(|i| (free(i), std::cmp::Reverse(*i))) else { break };
+        given[i] += part.len() as i64;
+        match shares.last_mut() {
+            Some(last) if last.member == order[i].0 => {}
+            last => {
+                let from = last.map_or(0, |l| {
+                    l.to = part[0] / grain * grain - 1;
+                    l.to + 1
+                });
+                shares.push(Share { member: order[i].0.to_string(), from, to: spec.parcels - 1 });
+            }
         }
-        shares.push(Share { member: m.to_string(), from, to: spec.parcels - 1 });
-        next += part as usize;
     }
     shares
 }
@@ -197,6 +196,8 @@
         let shares = lease(&s, &waits, &blocks, "a", false);
         let of = |m: &str| shares.iter().filter(|s| s.member == m).map(|s| s.to - s.from + 1).sum::<u32>();
         assert_eq!((of("a"), of("b"), of("c")), (0, 10, 20));
+        // Two writers of one record would refuse each other's starts.
+        assert!(shares.iter().all(|s| s.from % 10 == 0));
         assert_eq!(lease(&s, &waits, &blocks, "a", true)[0].member, "c");
     }
 }
