--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -759,11 +759,17 @@
         });
         let spare = self.writes.level(now) - self.writes.rate * SPARE_WRITES;
         let most = if self.may_write(0.0) { spare.max(0.0) as usize } else { 0 };
+        // Machines beside a standing fleet go one by one: room that several
+        // free at once may be wanted again before new ones are up.
+        let most_machines = if thrift == 0 { 1 } else { usize::MAX };
         let mut left = least_short.max(least_long);
         let mut chosen: Vec<(String, f64)> = Vec::new();
         let mut packs: BTreeMap<String, Vec<String>> = BTreeMap::new();
         for r in able {
             let Some(h) = self.view.hosts.get(&r.machine) else { continue };
+            if chosen.len() >= most_machines {
+                break;
+            }
             if r.total_cores > left || (packs.len() >= most && !packs.contains_key(&h.rec.pack)) {
                 continue;
             }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -157,12 +157,7 @@
 /// One round over the machines of this controller's block.
 pub fn plan(rooms: &mut [Room], waiting: &mut [Waiting], rules: &Rules, sack: &mut Knapsack) -> Vec<Start> {
     let mut starts = Vec::new();
-    // Oldest first, but jobs that can still meet their aim before those that
-    // cannot: a backlog of late ones would fill the whole window.
-    waiting.sort_by(|a, b| {
-        let urgency = b.spec.urgency.cmp(&a.spec.urgency);
-        urgency.then(a.late().cmp(&b.late())).then(b.waited_s.total_cmp(&a.waited_s))
-    });
+    waiting.sort_by(|a, b| b.spec.urgency.cmp(&a.spec.urgency).then(b.waited_s.total_cmp(&a.waited_s)));
     for w in waiting.iter_mut() {
         w.hopeless = !rooms.iter().any(|r| r.allowed(w.spec) && w.starts_soon(r));
     }
@@ -170,11 +165,14 @@
     let mut reserved = BTreeSet::new();
     for level in [Urgency::Production, Urgency::Urgent, Urgency::Standard, Urgency::Idle] {
         let mut jobs: Vec<&mut Waiting> = waiting.iter_mut().filter(|w| w.spec.urgency == level).collect();
-        let mut left = rules.window;
-        for w in &mut jobs {
-            if w.spec.form != Form::Ensemble {
-                w.tasks.truncate(left);
-                left -= w.tasks.len();
+        // The oldest tasks, and the oldest of jobs that can still meet their
+        // aim: a backlog of late ones would hide those.
+        let (mut oldest, mut saved) = (rules.window, rules.window);
+        for w in jobs.iter_mut().filter(|w| w.spec.form != Form::Ensemble) {
+            w.tasks.truncate(if w.late() { oldest } else { oldest.max(saved) });
+            oldest = oldest.saturating_sub(w.tasks.len());
+            if !w.late() {
+                saved = saved.saturating_sub(w.tasks.len());
             }
         }
         for w in &mut jobs {
