--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -458,7 +458,14 @@
         let mut stops: Vec<(String, (String, u32, u64))> = Vec::new();
         for (uid, n) in pressed {
             let Some(job) = self.view.jobs.get(uid) else { continue };
-            let within = self.aims.start_within(&job.spec).unwrap_or(f64::INFINITY);
+            let mut within = self.aims.start_within(&job.spec).unwrap_or(f64::INFINITY);
+            // Where no machine keeps the aim any more, or has room to make, a
+            // late start is still better than none.
+            let since = self.patience.get(uid).and_then(|p| p.waiting_since).unwrap_or(now);
+            let hopeless = !rooms.iter().any(|(r, _)| r.allowed(&job.spec) && r.starts_within(&job.spec, within));
+            if hopeless || now.saturating_sub(since).as_secs_f64() > within {
+                within = f64::INFINITY;
+            }
             for _ in 0..n {
                 if let Some((room, _)) =
                     rooms.iter_mut().find(|(r, _)| r.fits(&job.spec) > 0 && r.starts_within(&job.spec, within))
