Tests of block grants and loads; how long transactions take, in the summary

The newest of a pack's and its holder's block's grant holds; loads agree with a full count; 60 machines under seven controllers come back after a crash of all before their leases run out, with 12 writes a second.

--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -437,3 +437,71 @@
         map.remove(name);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::protocol::user::tests::spec;
+
+    fn pack(owner: &str, incarnation: u64) -> Value {
+        let names = ["m-1", "m-2"].map(String::from).to_vec();
+        let (build, site) = ("std".to_string(), "a".to_string());
+        let owner = owner.to_string();
+        let rec = PackRec {
+            build,
+            site,
+            spot: false,
+            owner,
+            incarnation,
+            term: 1,
+            epoch: 0,
+            base: false,
+            machines: names,
+            drain: vec!["m-2".into()],
+        };
+        to_value(&rec)
+    }
+
+    /// The newer of a pack's own grant and its holder's block's is in force:
+    /// the older one would let a dead incarnation's orders pass.
+    #[test]
+    fn the_newest_grant_holds() {
+        let mut v = View::new(8);
+        v.put("fq/m/a", &to_value(&MemberRec { incarnation: 7 }), 3);
+        v.put("fq/h/m-1", &pack("a", 5), 4);
+        assert!(!v.owned(&v.hosts["m-1"].rec));
+        assert_eq!(v.restarted(), ["a"]);
+        v.put("fq/b/a", &to_value(&BlockRec { incarnation: 7, term: 2, epoch: 9 }), 6);
+        let h = &v.hosts["m-2"];
+        assert!(v.owned(&h.rec) && h.rec.drain);
+        assert_eq!((h.version, h.rec.granted, h.rec.term, h.rec.epoch), (4, 6, 2, 9));
+        assert!(v.restarted().is_empty());
+        v.put("fq/h/m-1", &pack("b", 1), 8);
+        assert_eq!((v.hosts["m-1"].rec.owner.as_str(), v.hosts["m-1"].rec.term), ("b", 1));
+        v.delete("fq/h/m-1", 9);
+        assert!(v.hosts.is_empty());
+    }
+
+    /// Loads are kept in step with places; drift would rent or overfill.
+    #[test]
+    fn loads_agree_with_a_full_count() {
+        let mut v = View::new(8);
+        let mut s = spec("run-1");
+        s.parcels = 16;
+        let rec = JobRec { spec: Some(s.clone()), end: None, parcels: 16, at_ms: 0, shares: Vec::new() };
+        v.put("fq/j/run-1", &to_value(&rec), 1);
+        let at = |index, machine: &str| Place { index, machine: machine.into(), attempt: 1 };
+        let states: [&[Place]; 4] =
+            [&[at(0, "m"), at(1, "m"), at(2, "n")], &[at(1, "m")], &[at(1, "n"), at(3, "m")], &[]];
+        for (i, on) in states.iter().enumerate() {
+            let chunk = ChunkRec { done: Vec::new(), on: on.to_vec(), tries: 1 };
+            v.put("fq/t/run-1/0", &to_value(&chunk), 2 + i as u64);
+            for m in ["m", "n"] {
+                let placed = v.placed.get(m).map_or(0, |p| p.len());
+                let load = v.loads.get(m).cloned().unwrap_or_default();
+                assert!((load.all.cores - s.cores * placed as f64).abs() < 1e-9, "state {i}");
+                assert_eq!(load.images.contains(&s.bundle), placed > 0, "state {i}");
+            }
+        }
+    }
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -20,6 +20,7 @@
 use crate::protocol::store::{self, Txn};
 use crate::protocol::worker::Report;
 use crate::settings::Settings;
+use hdrhistogram::Histogram;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
@@ -36,7 +37,7 @@
     Rent { offer: crate::fleet::Offer, number: u32 },
     Release { machines: Vec<String> },
     Push { machine: String, grant: u64 },
-    Txn { txn: Txn, why: Why, keys: Vec<String> },
+    Txn { txn: Txn, why: Why, keys: Vec<String>, sent: Instant },
 }
 
 /// What a transaction was for.
@@ -217,6 +218,8 @@
     writes: Bucket,
     /// What was written since the last summary, by kind.
     written: BTreeMap<&'static str, Writes>,
+    /// How long the state service took over transactions, in milliseconds.
+    txn_ms: Histogram<u64>,
     cloud: Bucket,
     peers: HashMap<String, PeerView>,
     sack: Knapsack,
@@ -303,6 +306,7 @@
             patience: HashMap::new(),
             writes: Bucket::new(p.state.write_rps / n * WRITE_SHARE),
             written: BTreeMap::new(),
+            txn_ms: Histogram::new_with_max(LONGEST_TXN_MS, 2).expect("bounds are good"),
             cloud: Bucket::new(p.cloud.rps / n),
             peers: HashMap::new(),
             sack: Knapsack::default(),
@@ -410,6 +414,9 @@
         for (kind, w) in std::mem::take(&mut self.written) {
             tracing::debug!(kind, sent = w.sent, changes = w.changes, failed = w.failed, "written");
         }
+        let (p50, p99) = (self.txn_ms.value_at_quantile(0.5), self.txn_ms.value_at_quantile(0.99));
+        tracing::debug!(count = self.txn_ms.len(), p50, p99, "transactions took, in ms");
+        self.txn_ms.reset();
         if !self.am_leader() {
             return;
         }
@@ -527,7 +534,14 @@
         self.busy.extend(keys.iter().cloned());
         let body = crate::protocol::encode(&txn);
         let timeout = self.report_s(1.0);
-        self.call(Target::State, "POST", store::TXN.into(), Some(body), timeout, Purpose::Txn { txn, why, keys });
+        self.call(
+            Target::State,
+            "POST",
+            store::TXN.into(),
+            Some(body),
+            timeout,
+            Purpose::Txn { txn, why, keys, sent: self.now },
+        );
     }
 
     fn answer(&mut self, id: CallId, purpose: Purpose, result: Result<Reply, NoAnswer>) {
@@ -540,7 +554,9 @@
             }
             Purpose::Release { machines } => self.release_answer(machines, result),
             Purpose::Push { machine, grant } => self.push_answer(id, &machine, grant, result),
-            Purpose::Txn { txn, why, keys } => {
+            Purpose::Txn { txn, why, keys, sent } => {
+                let took = self.now.saturating_sub(sent).as_millis() as u64;
+                self.txn_ms.saturating_record(took);
                 for k in &keys {
                     self.busy.remove(k);
                 }
@@ -654,6 +670,8 @@
     }
 }
 
+/// Longer transactions count as this long in the summary.
+const LONGEST_TXN_MS: u64 = 60_000;
 /// Part of the store's writes that is used: renewals and repeats need some.
 const WRITE_SHARE: f64 = 0.9;
 /// Part of the cloud's requests that the leader may use.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! finchquay: a cluster scheduler whose three controllers keep jobs running on
+//! finchquay: a cluster scheduler whose controllers keep jobs running on
 //! rented machines. `docs/design.md` says how, and why it is safe.
 
 pub mod bookkeeping;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -183,6 +183,25 @@
     assert!(["run-011", "run-021", "run-031"].iter().all(|u| done(&w, u)));
 }
 
+/// With one write for each machine a block came back only after the leases of
+/// its workers had run out: the store's writes must not bound a restart.
+#[test]
+fn blocks_come_back_before_leases_run_out() {
+    let mut w = World::sized(11, Size { controllers: 7, machines: 60, write_rps: 12.0, txn_ops: 8 });
+    w.cloud.most = 60;
+    for n in 0..10 {
+        w.submit(&format!("run-{n}09"), service(30));
+    }
+    w.run_until(70.0);
+    let up = |w: &World| (0..10).map(|n| running(w, &format!("run-{n}09"))).sum::<usize>();
+    assert_eq!(up(&w), 300);
+    (0..7).for_each(|i| w.crash(i));
+    for at in 71..110 {
+        w.later(f64::from(at), move |w| assert_eq!(up(w), 300, "{at} s"));
+    }
+    w.run_until(110.0);
+}
+
 /// Random failures, alone and overlapping, with fixed seeds.
 #[test]
 fn rules_hold_under_random_failures() {
