Parts of a job are the finer, the more writes each controller has

Chunks now follow the writes a second that each controller has: 42 tasks where it has 7, 11 where it has 27.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -231,9 +231,12 @@
 
 /// Tasks per chunk. Its record stays well below the store's value limit
 /// whatever mix of its tasks is started or done; chunks are what a job is split
-/// by among controllers, so that several can start it side by side.
-pub fn chunk_size(value_kb: f64) -> u32 {
-    ((value_kb * 1024.0 / CHUNK_SHARE) as u32 / PLACE_BYTES).clamp(8, 512)
+/// by among controllers, so that several can start it side by side: the more
+/// writes a second each of them has, the finer.
+pub fn chunk_size(value_kb: f64, writes_each: f64) -> u32 {
+    let full = value_kb * 1024.0 / f64::from(PLACE_BYTES);
+    let part = full * CHUNK_WRITES / writes_each.max(CHUNK_WRITES * 2.0);
+    (part as u32).clamp(8, 512)
 }
 
 /// The most that the record of a chunk takes.
@@ -243,8 +246,9 @@
 
 /// A place takes at most 24 bytes and the machine's name.
 const PLACE_BYTES: u32 = 48;
-/// A chunk may take the value limit divided by this.
-const CHUNK_SHARE: f64 = 4.0;
+/// Writes a second for which a chunk could take the whole value limit; it
+/// takes half of it at most.
+const CHUNK_WRITES: f64 = 1.75;
 
 /// Marks `index` in a sorted list of inclusive ranges.
 pub fn add_to_ranges(ranges: &mut Vec<(u32, u32)>, index: u32) {
@@ -307,7 +311,7 @@
     /// would be started again and again.
     #[test]
     fn the_fullest_chunk_fits_the_store() {
-        let size = chunk_size(8.0);
+        let size = chunk_size(8.0, 1.0);
         let place = |index| Place { index, machine: "host-000231".into(), attempt: 100_000 };
         let full = ChunkRec {
             done: (0..size / 2).map(|i| (99_000 + i * 2, 99_000 + i * 2)).collect(),
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -279,7 +279,7 @@
         // A quarter of the store's requests goes to each kind of steady read.
         let gap = Duration::from_secs_f64(n / (p.state.rps * 0.25));
         let ttl = Duration::from_secs_f64((p.workers.report_s * 2.0).min(p.workers.lease_s / 3.0));
-        let chunk = records::chunk_size(p.state.value_kb);
+        let chunk = records::chunk_size(p.state.value_kb, p.state.write_rps / n);
         Controller {
             me: set.member.clone(),
             incarnation: incarnation >> 1,
