--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -381,6 +381,20 @@
         self.is_live(&host.owner, host.incarnation)
     }
 
+    /// Tasks per zone that are, or may still be, on machines, of a job whose
+    /// zones matter.
+    pub fn zones_of(&self, job: &Job) -> BTreeMap<String, u32> {
+        let mut zones = BTreeMap::new();
+        if job.spec.together || job.spec.apart {
+            for p in job.chunks.values().flat_map(|c| &c.rec.on) {
+                if let Some(h) = self.hosts.get(&p.machine) {
+                    *zones.entry(h.rec.site.clone()).or_default() += 1;
+                }
+            }
+        }
+        zones
+    }
+
     pub fn status(&self, uid: &str) -> Option<(Status, u32, u32)> {
         if let Some(e) = self.ended.get(uid) {
             let done = if e.status == Status::Done { e.parcels } else { 0 };
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -345,7 +345,8 @@
                     *q = (*q - cores).max(0.0);
                 }
             }
-            let blocks = blocks::Blocks { members: &members, rooms, queues: &others, grain: 1 };
+            let zones = self.view.zones_of(j);
+            let blocks = blocks::Blocks { members: &members, rooms, queues: &others, grain: 1, zones: &zones };
             let room = blocks.room(&j.spec);
             let fit = |m: &str| room.iter().find(|r| r.0 == m).map_or(0, |r| r.1);
             let mut need: BTreeMap<&str, u32> = BTreeMap::new();
@@ -358,7 +359,7 @@
             if !lost && !helps {
                 continue;
             }
-            let new = self.shares_for(&j.spec, &waits, rooms, &others);
+            let new = self.shares_for(&j.spec, &waits, rooms, &others, &zones);
             if new == *shares {
                 continue;
             }
@@ -607,7 +608,8 @@
                 n = n.div_ceil(LATE_SHARE);
             }
             if n > 0 {
-                let d = Demand { spec: &j.spec, tasks: n, thrifty: lost || growing };
+                let zones = self.view.zones_of(j);
+                let d = Demand { spec: &j.spec, tasks: n, thrifty: lost || growing, zones, of: j.spec.parcels };
                 if soon(&j.spec) {
                     services.push(d);
                 } else {
@@ -633,7 +635,7 @@
         for (class, (spec, n)) in spare {
             let share = (f64::from(n) * self.set.operator.spare_share).ceil() as u32 + 1;
             let tasks = share.max(together.get(class).copied().unwrap_or(0));
-            services.push(Demand { spec, tasks, thrifty: false });
+            services.push(Demand::spare(spec, tasks));
         }
         // Jobs that are lost take what the others leave.
         arrays.sort_by(|(a, c), (b, d)| {
@@ -654,7 +656,7 @@
                 turns.min(f64::from(d.tasks)) as u32
             };
             before += f64::from(waits) * d.spec.cores;
-            let part = |tasks, thrifty| Demand { spec: d.spec, tasks, thrifty };
+            let part = |tasks, thrifty| Demand { tasks, thrifty, zones: d.zones.clone(), ..d };
             split.extend([part(d.tasks - waits, false), part(waits, true)].into_iter().filter(|d| d.tasks > 0));
         }
         (services, split)
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -88,7 +88,8 @@
         let uid = spec.uid.clone();
         let waits: Vec<u32> = (0..spec.parcels).collect();
         let counted = self.counted(&spec);
-        let shares = self.shares_for(&spec, &waits, &self.rooms_beside(true, counted), &self.queues(counted));
+        let (rooms, queues) = (self.rooms_beside(true, counted), self.queues(counted));
+        let shares = self.shares_for(&spec, &waits, &rooms, &queues, &BTreeMap::new());
         let rec = records::JobRec { parcels: spec.parcels, spec: Some(spec), end: None, at_ms: self.wall_ms(), shares };
         let txn = Txn {
             conds: vec![Cond { key: key.clone(), entry_no: 0 }],
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -358,14 +358,7 @@
             if tasks.is_empty() {
                 continue;
             }
-            let mut zones: BTreeMap<String, u32> = BTreeMap::new();
-            if job.spec.together || job.spec.apart {
-                for p in job.chunks.values().flat_map(|c| &c.rec.on) {
-                    if let Some(h) = self.view.hosts.get(&p.machine) {
-                        *zones.entry(h.rec.site.clone()).or_default() += 1;
-                    }
-                }
-            }
+            let zones = self.view.zones_of(job);
             let waited_s = now.saturating_sub(since).as_secs_f64();
             let age_s = self.wall_ms().saturating_sub(job.rec.rec.at_ms) as f64 / 1000.0;
             let aim_s = self.aims.end_within(&job.spec);
@@ -508,10 +501,11 @@
         waits: &[u32],
         rooms: &[(String, Room)],
         queues: &BTreeMap<String, f64>,
+        zones: &BTreeMap<String, u32>,
     ) -> Vec<Share> {
         let members: Vec<String> = self.view.members.keys().cloned().collect();
         let whole = spec.form == Form::Ensemble || spec.together || spec.apart;
-        let blocks = blocks::Blocks { members: &members, rooms, queues, grain: self.view.chunk_size };
+        let blocks = blocks::Blocks { members: &members, rooms, queues, grain: self.view.chunk_size, zones };
         blocks::lease(spec, waits, &blocks, &self.me, whole)
     }
 
--- a/src/coordination/blocks.rs
+++ b/src/coordination/blocks.rs
@@ -3,7 +3,7 @@
 
 use crate::bookkeeping::View;
 use crate::bookkeeping::records::{PackRec, Share};
-use crate::placement::Room;
+use crate::placement::{Room, zone_room};
 use crate::protocol::user::JobSpec;
 use std::collections::BTreeMap;
 
@@ -98,20 +98,36 @@
     None
 }
 
-/// How many tasks of the job each member's block has room for.
-pub fn room_by_member<'a>(rooms: &'a [(String, Room)], spec: &JobSpec) -> BTreeMap<&'a str, (u32, u32)> {
-    let mut out: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
+/// How many tasks of the job each member's block has room for, in zones where
+/// the job may have them, given those it has in each; and those of them that
+/// find the image.
+fn room_by_member<'a>(
+    rooms: &'a [(String, Room)],
+    spec: &JobSpec,
+    zones: &BTreeMap<String, u32>,
+) -> BTreeMap<&'a str, (u32, u32)> {
+    let mut by_zone: BTreeMap<(&str, &str), (u32, u32)> = BTreeMap::new();
     for (member, room) in rooms {
         let n = room.fits(spec).min(spec.parcels);
         if n == 0 {
             continue;
         }
-        let e = out.entry(member).or_default();
+        let e = by_zone.entry((member, &room.site)).or_default();
         e.0 += n;
         if room.has_image(spec) {
             e.1 += n;
         }
     }
+    let mut out: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
+    for ((member, site), (all, local)) in by_zone {
+        let most = zone_room(spec, spec.parcels, zones, site);
+        let e = out.entry(member).or_default();
+        if spec.together {
+            *e = (*e).max((all.min(most), local.min(most)));
+        } else {
+            *e = (e.0 + all.min(most), e.1 + local.min(most));
+        }
+    }
     out
 }
 
@@ -125,6 +141,8 @@
     /// Tasks whose state shares a record: they are not split, so that every
     /// record has one writer.
     pub grain: u32,
+    /// Tasks of the job per zone that are, or may still be, on machines.
+    pub zones: &'a BTreeMap<String, u32>,
 }
 
 impl Blocks<'_> {
@@ -132,7 +150,7 @@
     /// served, less than none where the queue is longer; and those of them
     /// that find the image.
     pub fn room(&self, spec: &JobSpec) -> Vec<(&str, i64, u32)> {
-        let room = room_by_member(self.rooms, spec);
+        let room = room_by_member(self.rooms, spec, self.zones);
         let queued = |m: &str| (self.queues.get(m).copied().unwrap_or(0.0) / spec.cores.max(f64::MIN_POSITIVE)) as i64;
         let of = |m: &str| room.get(m).copied().unwrap_or_default();
         self.members.iter().map(|m| (m.as_str(), i64::from(of(m).0) - queued(m), of(m).1)).collect()
@@ -191,7 +209,7 @@
         s.parcels = 30;
         let members = ["a", "b", "c"].map(String::from);
         let queues = BTreeMap::from([("a".to_string(), 40.0), ("b".to_string(), 5.0)]);
-        let blocks = Blocks { members: &members, rooms: &[], queues: &queues, grain: 10 };
+        let blocks = Blocks { members: &members, rooms: &[], queues: &queues, grain: 10, zones: &BTreeMap::new() };
         let waits: Vec<u32> = (0..30).collect();
         let shares = lease(&s, &waits, &blocks, "a", false);
         let of = |m: &str| shares.iter().filter(|s| s.member == m).map(|s| s.to - s.from + 1).sum::<u32>();
@@ -200,4 +218,26 @@
         assert!(shares.iter().all(|s| s.from % 10 == 0));
         assert_eq!(lease(&s, &waits, &blocks, "a", true)[0].member, "c");
     }
+
+    /// A block with much room in one zone only cannot hold a job that must be
+    /// apart, nor one with little room in each a gang that must be together.
+    #[test]
+    fn a_lease_counts_room_where_the_job_may_have_it() {
+        let mut s = spec("run-1");
+        s.parcels = 4;
+        let room = |m: &str, site: &str, cores| {
+            let mut r = crate::placement::tests::room("m", cores, "");
+            r.site = site.into();
+            (m.to_string(), r)
+        };
+        let rooms = [room("a", "x", 8.0), room("b", "x", 2.0), room("b", "y", 3.0)];
+        let members = ["a", "b"].map(String::from);
+        let (queues, zones) = (BTreeMap::new(), BTreeMap::new());
+        let blocks = Blocks { members: &members, rooms: &rooms, queues: &queues, grain: 8, zones: &zones };
+        let holder = |s: &JobSpec| lease(s, &[0, 1, 2, 3], &blocks, "a", true)[0].member.clone();
+        s.apart = true;
+        assert_eq!(holder(&s), "b");
+        (s.apart, s.together) = (false, true);
+        assert_eq!(holder(&s), "a");
+    }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -125,17 +125,22 @@
         self.start_within_s.is_none_or(|s| room.starts_within(self.spec, s))
     }
 
-    /// How many more tasks the job may have in this zone.
     fn zone_room(&self, site: &str) -> u32 {
-        let here = self.zones.get(site).copied().unwrap_or(0);
-        if self.spec.together && self.zones.iter().any(|(z, n)| z != site && *n > 0) {
-            return 0;
-        }
-        if self.spec.apart {
-            return self.spec.parcels.div_ceil(2).saturating_sub(here);
-        }
-        u32::MAX
+        zone_room(self.spec, self.spec.parcels, &self.zones, site)
+    }
+}
+
+/// How many more tasks a job of `parcels` may have in this zone, given those
+/// that are, or may still be, on machines in each.
+pub fn zone_room(spec: &JobSpec, parcels: u32, zones: &BTreeMap<String, u32>, site: &str) -> u32 {
+    let here = zones.get(site).copied().unwrap_or(0);
+    if spec.together && zones.iter().any(|(z, n)| z != site && *n > 0) {
+        return 0;
+    }
+    if spec.apart {
+        return parcels.div_ceil(2).saturating_sub(here);
     }
+    u32::MAX
 }
 
 /// Knobs of a round.
@@ -368,11 +373,11 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(crate) mod tests {
     use super::*;
     use crate::protocol::user::tests::spec;
 
-    fn room(name: &str, cores: f64, image: &str) -> Room {
+    pub(crate) fn room(name: &str, cores: f64, image: &str) -> Room {
         Room {
             machine: name.into(),
             build: "std".into(),
