--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -89,11 +89,21 @@
     pub arrays: Amounts,
     /// Replicas of services, by class.
     pub standing: BTreeMap<String, u32>,
-    bundles: BTreeMap<String, u32>,
+    /// By image of the tasks.
+    pub bundles: BTreeMap<String, Bundle>,
     /// Images of the tasks.
     pub images: Images,
 }
 
+/// Tasks on one machine that share an image.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Bundle {
+    tasks: u32,
+    /// The part of them that arrays have.
+    pub arrays: u32,
+    pub size_gb: f64,
+}
+
 pub type Images = Rc<BTreeSet<String>>;
 
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -120,9 +130,16 @@
         if spec.form == Form::Standing {
             count(&mut self.standing, &spec.docket);
         }
-        if count(&mut self.bundles, &spec.bundle) == 1 {
-            Rc::make_mut(&mut self.images).insert(spec.bundle.clone());
-        }
+        let bundle = match self.bundles.get_mut(&spec.bundle) {
+            Some(b) => b,
+            None => {
+                Rc::make_mut(&mut self.images).insert(spec.bundle.clone());
+                self.bundles.entry(spec.bundle.clone()).or_default()
+            }
+        };
+        bundle.tasks += 1;
+        bundle.arrays += u32::from(spec.form == Form::Batch);
+        bundle.size_gb = spec.size_gb;
     }
 
     fn remove(&mut self, spec: &JobSpec) {
@@ -133,34 +150,32 @@
         if spec.form == Form::Standing {
             uncount(&mut self.standing, &spec.docket);
         }
-        if uncount(&mut self.bundles, &spec.bundle) {
-            Rc::make_mut(&mut self.images).remove(&spec.bundle);
+        if let Some(b) = self.bundles.get_mut(&spec.bundle) {
+            b.tasks -= 1;
+            b.arrays -= u32::from(spec.form == Form::Batch);
+            if b.tasks == 0 {
+                self.bundles.remove(&spec.bundle);
+                Rc::make_mut(&mut self.images).remove(&spec.bundle);
+            }
         }
     }
 }
 
-fn count(map: &mut BTreeMap<String, u32>, key: &str) -> u32 {
+fn count(map: &mut BTreeMap<String, u32>, key: &str) {
     match map.get_mut(key) {
-        Some(n) => {
-            *n += 1;
-            *n
-        }
+        Some(n) => *n += 1,
         None => {
             map.insert(key.to_string(), 1);
-            1
         }
     }
 }
 
-/// True if it was the last.
-fn uncount(map: &mut BTreeMap<String, u32>, key: &str) -> bool {
-    let Some(n) = map.get_mut(key) else { return false };
+fn uncount(map: &mut BTreeMap<String, u32>, key: &str) {
+    let Some(n) = map.get_mut(key) else { return };
     *n -= 1;
-    let last = *n == 0;
-    if last {
+    if *n == 0 {
         map.remove(key);
     }
-    last
 }
 
 pub type Placements = BTreeMap<(String, u32), u64>;
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -728,7 +728,7 @@
         // Missed aims are a reason to keep machines only where tasks waited of late.
         let pressed = self.pressed_at.is_some_and(|t| now.saturating_sub(t) < self.secs(boot * PRESSED_BOOTS[thrift]));
         let keeps = if pressed && self.aims.behind() { BEHIND_KEEPS[thrift] } else { 1.0 };
-        let free: f64 = rooms.iter().map(|(_, r)| r.cores.max(0.0)).sum();
+        let free: f64 = rooms.iter().map(|(_, r)| r.free_cores()).sum();
         self.slack.push_back((now, free));
         let window = |times: f64| self.secs(boot * self.set.operator.idle_boots * times);
         let (short, long) = (window(1.0), window(keeps));
@@ -756,7 +756,7 @@
             .filter(|r| self.view.hosts.get(&r.machine).is_some_and(|h| !h.rec.base && !pack_busy(&h.rec)))
             .collect();
         able.sort_by(|a, b| {
-            let used = |r: &Room| r.total_cores - r.cores;
+            let used = |r: &Room| r.total_cores - r.free_cores();
             a.spot.cmp(&b.spot).then(used(a).total_cmp(&used(b))).then_with(|| b.machine.cmp(&a.machine))
         });
         let spare = self.writes.level(now) - self.writes.rate * SPARE_WRITES;
@@ -776,7 +776,7 @@
                 continue;
             }
             left -= r.total_cores;
-            chosen.push((r.machine.clone(), r.cores));
+            chosen.push((r.machine.clone(), r.free_cores()));
             packs.entry(h.rec.pack.clone()).or_default().push(r.machine.clone());
         }
         if chosen.is_empty() {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -436,7 +436,7 @@
             machines = rooms.len(),
             booting,
             cores = sum(|r| r.total_cores),
-            free_cores = sum(|r| r.cores),
+            free_cores = sum(crate::placement::Room::free_cores),
             behind = self.aims.behind(),
             "cluster"
         );
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -5,6 +5,7 @@
 use crate::bookkeeping::Placements;
 use crate::protocol::cloud::{RELEASE, RELEASE_LIMIT, Release};
 use crate::protocol::encode;
+use crate::protocol::user::Form;
 use crate::protocol::worker::{Answer, Cause, Push, Redirect, TaskState};
 
 /// A worker waits this long for an answer, then a little to try the next node.
@@ -150,8 +151,13 @@
             if s.state == TaskState::Running {
                 m.since.entry((job.clone(), index, s.attempt)).or_insert(now);
             }
-            if s.state == TaskState::Running && !m.images.contains(&j.spec.bundle) {
+            let there = matches!(s.state, TaskState::Running | TaskState::Gathering | TaskState::Saving);
+            if there && !m.images.contains(&j.spec.bundle) {
                 std::rc::Rc::make_mut(&mut m.images).insert(j.spec.bundle.clone());
+                m.fetches.remove(&j.spec.bundle);
+            }
+            if s.state == TaskState::Fetching && !m.images.contains(&j.spec.bundle) {
+                m.fetches.entry(j.spec.bundle.clone()).or_insert(now);
             }
             if s.state != TaskState::Exited {
                 continue;
@@ -162,6 +168,10 @@
                 freed |= change.done.insert(index);
                 m.errors = 0;
             }
+            let complete = j.spec.form == Form::Ensemble && j.placed == j.spec.parcels && !j.withdrawn();
+            if s.cause == Some(Cause::Alone) && complete {
+                continue; // the others are on their way: it is ordered again
+            }
             if kept.get(&key) == Some(&s.attempt)
                 && (s.cause != Some(Cause::Done) || j.withdrawn())
                 && change.clear.insert((index, s.attempt))
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -13,6 +13,12 @@
 /// Estimates are often wrong by half: a job counts as late once its aim would
 /// be missed by a run of this part of the estimate.
 pub(super) const HOPE: f64 = 0.7;
+/// Of an image that should have come, this part is taken to be still missing:
+/// rates vary by a third.
+const LEAST_TO_COME: f64 = 0.2;
+/// Tasks wait for this part of the places that should come free where their
+/// image is before it could be fetched elsewhere.
+const STAYS: f64 = 0.5;
 /// Bytes of one transaction that may go to chunk records, as a share of the limit.
 const CHUNK_SHARE: f64 = 0.75;
 
@@ -129,7 +135,11 @@
             let rec = draft(&mut chunks, job, index / size);
             rec.on.retain(|p| (p.index, p.attempt) != (*index, *attempt));
         }
-        let attempt = job.chunks.values().map(|c| c.rec.tries).max().unwrap_or(0) + 1;
+        let tries = job.chunks.values().map(|c| c.rec.tries).max().unwrap_or(0);
+        // A gang that lost a task before it started is completed under the
+        // same attempt: its tasks find each other by that.
+        let completes = job.spec.form == Form::Ensemble && job.placed > 0;
+        let attempt = if completes { tries } else { tries + 1 };
         let mut started = BTreeSet::new();
         // The store takes four conditions for every change it allows: a job on
         // more machines than that starts in several transactions.
@@ -235,6 +245,7 @@
     /// The same, counting only some of the tasks.
     pub(super) fn rooms_beside(&self, everyone: bool, counted: Counted) -> Vec<(String, Room)> {
         let silent = self.report_s(2.5);
+        let now = self.now;
         let mut rooms = Vec::new();
         for (name, h) in &self.view.hosts {
             let mine = self.owns(h);
@@ -271,6 +282,7 @@
                     takes.gpus -= load.arrays.gpus;
                     takes.mem_gb -= load.arrays.mem_gb;
                 }
+                room.arrays = load.arrays;
                 room.cores -= takes.cores;
                 room.gpus -= takes.gpus;
                 room.mem_gb -= takes.mem_gb;
@@ -278,6 +290,16 @@
             }
             if let Some(m) = self.machines.get(name).filter(|_| mine) {
                 room.images[1] = m.images.clone();
+                if let Some(load) = self.view.loads.get(name) {
+                    let coming = load.bundles.iter().filter(|(i, _)| !m.images.contains(*i));
+                    room.fetching_gb = coming
+                        .map(|(i, b)| {
+                            let since = m.fetches.get(i).map_or(now, |t| *t);
+                            let came = now.saturating_sub(since).as_secs_f64() * t.pull_gb_per_s;
+                            (b.size_gb - came).max(b.size_gb * LEAST_TO_COME)
+                        })
+                        .sum();
+                }
                 // Freed room counts at once, not only when the exit is stored.
                 let placed = self.view.placed.get(name);
                 for (job, index, attempt) in m.over() {
@@ -314,7 +336,15 @@
             allowances.insert(&t.name, self.allowance(t));
         }
         let mut rooms: Vec<Room> = self.rooms(false).into_iter().map(|(_, r)| r).collect();
-        let most = rooms.iter().map(|r| r.cores).fold(0.0, f64::max);
+        // Tasks of arrays per image, which leave their places to the next.
+        let mut turning: HashMap<&str, f64> = HashMap::new();
+        for load in self.machines.keys().filter_map(|name| self.view.loads.get(name)) {
+            for (image, b) in load.bundles.iter().filter(|b| b.1.arrays > 0) {
+                *turning.entry(image).or_default() += f64::from(b.arrays);
+            }
+        }
+        let pull = self.types.iter().map(|t| t.pull_gb_per_s).fold(f64::INFINITY, f64::min);
+        let most = rooms.iter().filter(|r| r.free_share() > 0.0).map(|r| r.cores).fold(0.0, f64::max);
         let mut waiting: Vec<Waiting> = Vec::new();
         for (uid, job) in &self.view.jobs {
             if job.waiting_count() == 0 {
@@ -338,7 +368,7 @@
             let mine = |i: u32| ranges.iter().any(|(from, to)| (*from..=*to).contains(&i));
             let all = job.waiting(size);
             let whole = all.len() as u32 == job.spec.parcels;
-            if job.spec.form == Form::Ensemble && !whole {
+            if job.spec.form == Form::Ensemble && !whole && !self.gathers(job) {
                 continue;
             }
             let mut tasks: Vec<u32> = all.into_iter().filter(|i| mine(*i)).collect();
@@ -366,6 +396,14 @@
             let left = f64::from(job.spec.parcels - job.done);
             let work = left * job.spec.cores * job.spec.expected_s;
             let start_within_s = self.aims.start_within(&job.spec);
+            let mut stay = 0;
+            if job.spec.form == Form::Batch
+                && let Some(n) = turning.get_mut(job.spec.bundle.as_str())
+            {
+                let turns = job.spec.size_gb / pull / job.spec.expected_s.max(f64::MIN_POSITIVE);
+                stay = (*n * turns * STAYS).min(tasks.len() as f64) as u32;
+                *n = (*n - f64::from(stay) / turns.max(f64::MIN_POSITIVE)).max(0.0);
+            }
             waiting.push(Waiting {
                 spec: &job.spec,
                 tasks,
@@ -376,6 +414,7 @@
                 start_within_s,
                 hopeless: false,
                 aim_s,
+                stay,
             });
         }
         if waiting.is_empty() {
@@ -385,13 +424,26 @@
         // need them; then the fullest, so that others stay empty.
         rooms.sort_by(|a, b| {
             let spot = b.spot.cmp(&a.spot);
-            spot.then(a.cores.total_cmp(&b.cores)).then_with(|| a.machine.cmp(&b.machine))
+            spot.then(a.free_cores().total_cmp(&b.free_cores())).then_with(|| a.machine.cmp(&b.machine))
         });
         let op = &self.set.operator;
         let rules = Rules { window: op.window, step_gb: op.step_mb / 1024.0, wait_limit_s: op.wait_limit_s };
         plan(&mut rooms, &mut waiting, &rules, &mut self.sack)
     }
 
+    /// Whether a gang lost tasks before it started, and all others are seen on
+    /// our machines, waiting for replacements.
+    fn gathers(&self, job: &Job) -> bool {
+        let recent = self.report_s(1.5);
+        let here = |p: &Place| {
+            self.machines.get(&p.machine).is_some_and(|m| {
+                let heard = m.heard_at.is_some_and(|t| self.now.saturating_sub(t) < recent);
+                heard && m.gathers(&job.spec.uid, p.index, p.attempt)
+            })
+        };
+        job.done == 0 && job.placed > 0 && job.chunks.values().flat_map(|c| &c.rec.on).all(here)
+    }
+
     /// Stops less urgent tasks for those that found no room and must start soon.
     fn make_room(&mut self, starts: &[Start]) {
         let now = self.now;
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -39,7 +39,8 @@
     /// Where it takes orders, by its own report.
     pub addr: String,
     pub tasks: Vec<Seen>,
-    /// Of those, the ones that have exited: they take no room any more.
+    /// Of those, the ones that have exited and take no room any more. A gang's
+    /// task that gave up waiting is ordered again, and keeps its room.
     ended: BTreeSet<(String, u32, u64)>,
     /// The last report that came from the worker itself, by its own call.
     pub heard_at: Option<Instant>,
@@ -51,7 +52,10 @@
     pub errors: u32,
     pub shut_until: Instant,
     pub idle_since: Option<Instant>,
+    /// Images it is known to hold.
     pub images: Images,
+    /// Images it fetches, and since when that is known.
+    pub fetches: BTreeMap<String, Instant>,
     pub releasing: bool,
     /// When each task was first seen to run.
     pub since: BTreeMap<(String, u32, u64), Instant>,
@@ -86,6 +90,7 @@
             shut_until: Duration::ZERO,
             idle_since: None,
             images: Images::default(),
+            fetches: BTreeMap::new(),
             releasing: false,
             since: BTreeMap::new(),
             preempted: BTreeSet::new(),
@@ -127,7 +132,8 @@
                 Some(Seen { task: TaskId::parse(&t.parcel)?, attempt: t.attempt, state: t.status, cause: t.cause })
             })
             .collect();
-        let ended = self.tasks.iter().filter(|s| s.state == TaskState::Exited);
+        let over = |s: &&Seen| s.state == TaskState::Exited && s.cause != Some(Cause::Alone);
+        let ended = self.tasks.iter().filter(over);
         self.ended = ended.map(|s| (s.task.job.clone(), s.task.index, s.attempt)).collect();
         true
     }
@@ -167,6 +173,15 @@
         true
     }
 
+    /// The gang's task is here and its gang has not started: it fetches, waits
+    /// for the others, or gave up waiting and is ordered again.
+    pub fn gathers(&self, job: &str, index: u32, attempt: u64) -> bool {
+        self.confirmed()
+            && self.find(job, index, attempt).is_some_and(|s| {
+                matches!(s.state, TaskState::Fetching | TaskState::Gathering) || s.cause == Some(Cause::Alone)
+            })
+    }
+
     pub fn find(&self, job: &str, index: u32, attempt: u64) -> Option<&Seen> {
         self.tasks.iter().find(|s| s.attempt == attempt && s.task.index == index && s.task.job == job)
     }
@@ -184,8 +199,14 @@
             if s.state == TaskState::Exited {
                 // Forgetting makes a late `run` start the task again, so it
                 // waits until no such message can be under way.
-                if !is(wanted) && !is(kept) && self.confirmed() {
-                    orders.push(Order::Forget { parcel, attempt });
+                let again = is(wanted) && s.cause == Some(Cause::Alone);
+                if (again || !is(wanted) && !is(kept)) && self.confirmed() {
+                    orders.push(Order::Forget { parcel: parcel.clone(), attempt });
+                    if again {
+                        // The gang was not complete in time, but it comes: the
+                        // same attempt waits on, with its image there by now.
+                        orders.push(Order::Run { parcel, attempt });
+                    }
                 }
             } else if !is(wanted) {
                 orders.push(Order::Kill { parcel, attempt, wind_down_s: 0.0 });
@@ -325,4 +346,22 @@
         assert!(!m.lapsed(s(157), s(18), s(48)));
         assert!(m.lapsed(s(159), s(18), s(48)));
     }
+
+    /// One machine of a gang had its image long before the others: its task gave
+    /// up, the whole gang was started anew, elsewhere, and gave up again.
+    #[test]
+    fn a_gang_task_that_gave_up_waiting_waits_on() {
+        let mut m = Machine::new(1, 1, 1, Duration::ZERO);
+        let mut r = report((1, 1), m.token(), &[("run-1/0", 2, TaskState::Exited)]);
+        r.tasks[0].cause = Some(Cause::Alone);
+        m.take(&r);
+        let here = places(&[("run-1", 0, 2)]);
+        let forget = Order::Forget { parcel: "run-1/0".into(), attempt: 2 };
+        let run = Order::Run { parcel: "run-1/0".into(), attempt: 2 };
+        assert_eq!(m.orders(&here, &here), vec![forget, run]);
+        assert!(m.gathers("run-1", 0, 2) && m.over().next().is_none());
+        // With a push under way nothing is forgotten.
+        m.push = Some(7);
+        assert!(m.orders(&here, &here).is_empty() && !m.gathers("run-1", 0, 2));
+    }
 }
--- a/src/placement/knapsack.rs
+++ b/src/placement/knapsack.rs
@@ -1,5 +1,5 @@
-//! The 0-1 knapsack over one machine's free memory (PAPER IV-C), with CPUs as
-//! a second table dimension. Value of a task: 1 − (c / C)².
+//! The 0-1 knapsack over one machine's free memory (PAPER IV-C), with CPUs and
+//! GPUs as further table dimensions. Value of a task: 1 − (c / C)².
 
 /// Equal waiting tasks that one machine could take.
 #[derive(Debug, Clone)]
@@ -11,11 +11,23 @@
     pub mem: u32,
     /// CPUs, in steps, rounded up.
     pub cpu: u32,
+    /// GPUs, in steps, rounded up.
+    pub gpu: u32,
     pub value: f32,
 }
 
-/// Steps per CPU core in the table: shares of CPUs are rounded up to this.
+/// Steps per CPU core and per GPU in the table: shares are rounded up to this.
 pub const CPU_STEPS: f64 = 4.0;
+pub const GPU_STEPS: f64 = 4.0;
+
+/// What a machine has free, or a task takes, in steps: memory, CPUs, GPUs.
+pub type Steps = [u32; 3];
+
+impl Group {
+    fn steps(&self) -> Steps {
+        [self.mem, self.cpu, self.gpu]
+    }
+}
 
 /// Value of a task that takes `c` of the machine's `total` CPUs.
 pub fn value(c: f64, total: f64) -> f32 {
@@ -36,48 +48,54 @@
 struct Item {
     group: usize,
     times: u32,
-    mem: usize,
-    cpu: usize,
+    takes: [usize; 3],
     value: f32,
 }
 
 impl Knapsack {
     /// How many tasks of each group to take so that the value is greatest.
-    pub fn fill(&mut self, groups: &[Group], free_mem: u32, free_cpu: u32) -> Vec<(usize, u32)> {
-        let usable = |g: &&Group| g.count > 0 && g.mem <= free_mem && g.cpu <= free_cpu;
+    pub fn fill(&mut self, groups: &[Group], free: Steps) -> Vec<(usize, u32)> {
+        let usable = |g: &&Group| g.count > 0 && g.steps().iter().zip(free).all(|(need, free)| *need <= free);
         let groups: Vec<&Group> = groups.iter().filter(usable).collect();
-        let sum = |f: fn(&Group) -> u32| -> u64 { groups.iter().map(|g| u64::from(f(g)) * u64::from(g.count)).sum() };
-        if sum(|g| g.mem) <= u64::from(free_mem) && sum(|g| g.cpu) <= u64::from(free_cpu) {
+        let binds = binding(&groups, free);
+        if binds == [false; 3] {
             return groups.iter().map(|g| (g.id, g.count)).collect();
         }
-        // A common divisor of all weights makes the table smaller, and loses nothing.
-        let dm = groups.iter().fold(0, |d, g| gcd(d, g.mem)).max(1);
-        let dc = groups.iter().fold(0, |d, g| gcd(d, g.cpu)).max(1);
-        let (w, h) = ((free_mem / dm) as usize + 1, (free_cpu / dc) as usize + 1);
-        let items = split(&groups, dm, dc, w, h);
+        // A common divisor of all weights makes the table smaller, and loses
+        // nothing; nor does leaving out what cannot bind.
+        let divisor = |d: usize| groups.iter().fold(0, |n, g| gcd(n, g.steps()[d])).max(1);
+        let divisors = [0, 1, 2].map(divisor);
+        let sizes = [0, 1, 2].map(|d| if binds[d] { (free[d] / divisors[d]) as usize + 1 } else { 1 });
+        let weigh = |g: &Group| [0, 1, 2].map(|d| if binds[d] { (g.steps()[d] / divisors[d]) as usize } else { 0 });
+        let [w, h, l] = sizes;
+        let cells = w * h * l;
+        let items = split(&groups, weigh, sizes);
         self.best.clear();
-        self.best.resize(w * h, 0.0);
+        self.best.resize(cells, 0.0);
         self.taken.clear();
-        self.taken.resize(items.len() * w * h, false);
+        self.taken.resize(items.len() * cells, false);
         for (k, it) in items.iter().enumerate() {
-            let taken = &mut self.taken[k * w * h..(k + 1) * w * h];
-            for c in (it.cpu..h).rev() {
-                for m in (it.mem..w).rev() {
-                    let with = self.best[(c - it.cpu) * w + m - it.mem] + it.value;
-                    let at = c * w + m;
-                    if with > self.best[at] {
-                        self.best[at] = with;
-                        taken[at] = true;
+            let taken = &mut self.taken[k * cells..(k + 1) * cells];
+            let [mem, cpu, gpu] = it.takes;
+            for g in (gpu..l).rev() {
+                for c in (cpu..h).rev() {
+                    let (row, from) = ((g * h + c) * w, ((g - gpu) * h + c - cpu) * w);
+                    for m in (mem..w).rev() {
+                        let with = self.best[from + m - mem] + it.value;
+                        if with > self.best[row + m] {
+                            self.best[row + m] = with;
+                            taken[row + m] = true;
+                        }
                     }
                 }
             }
         }
         let mut out: Vec<(usize, u32)> = Vec::new();
-        let (mut c, mut m) = (h - 1, w - 1);
+        let mut at = cells - 1;
         for (k, it) in items.iter().enumerate().rev() {
-            if self.taken[k * w * h + c * w + m] {
-                c -= it.cpu;
-                m -= it.mem;
+            if self.taken[k * cells + at] {
+                let [mem, cpu, gpu] = it.takes;
+                at -= (gpu * h + cpu) * w + mem;
                 let id = groups[it.group].id;
                 match out.iter_mut().find(|o| o.0 == id) {
                     Some(o) => o.1 += it.times,
@@ -89,23 +107,35 @@
     }
 }
 
+/// Which of memory, CPUs and GPUs can keep a set from fitting. One cannot if all
+/// tasks fit, or if every set that another one allows leaves enough of it.
+fn binding(groups: &[&Group], free: Steps) -> [bool; 3] {
+    let sum = |d: usize| -> u64 { groups.iter().map(|g| u64::from(g.steps()[d]) * u64::from(g.count)).sum() };
+    let mut binds = [0, 1, 2].map(|d| sum(d) > u64::from(free[d]));
+    for d in 0..3 {
+        let implied = |by: usize| {
+            let within = |g: &&Group| {
+                let (x, y) = (u64::from(g.steps()[d]), u64::from(g.steps()[by]));
+                x * u64::from(free[by]) <= y * u64::from(free[d])
+            };
+            binds[by] && by != d && groups.iter().all(within)
+        };
+        binds[d] = binds[d] && !(0..3).any(implied);
+    }
+    binds
+}
+
 /// Binary splitting: n equal tasks become about log2(n) items.
-fn split(groups: &[&Group], dm: u32, dc: u32, w: usize, h: usize) -> Vec<Item> {
+fn split(groups: &[&Group], weigh: impl Fn(&Group) -> [usize; 3], sizes: [usize; 3]) -> Vec<Item> {
     let mut items = Vec::new();
     for (group, g) in groups.iter().enumerate() {
-        let (mem, cpu) = ((g.mem / dm) as usize, (g.cpu / dc) as usize);
-        let fits = |room: usize, size: usize| (room - 1).checked_div(size).unwrap_or(usize::MAX);
-        let most = fits(w, mem).min(fits(h, cpu)).min(g.count as usize) as u32;
+        let takes = weigh(g);
+        let fits = |d: usize| (sizes[d] - 1).checked_div(takes[d]).unwrap_or(usize::MAX);
+        let most = fits(0).min(fits(1)).min(fits(2)).min(g.count as usize) as u32;
         let (mut left, mut times) = (most, 1);
         while left > 0 {
             let n = times.min(left);
-            items.push(Item {
-                group,
-                times: n,
-                mem: mem * n as usize,
-                cpu: cpu * n as usize,
-                value: g.value * n as f32,
-            });
+            items.push(Item { group, times: n, takes: takes.map(|t| t * n as usize), value: g.value * n as f32 });
             left -= n;
             times *= 2;
         }
@@ -122,42 +152,46 @@
     use super::*;
     use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-    fn brute(groups: &[Group], mem: u32, cpu: u32) -> f32 {
+    fn brute(groups: &[Group], free: Steps) -> f32 {
         let Some((g, rest)) = groups.split_first() else {
             return 0.0;
         };
         let mut best: f32 = 0.0;
         for n in 0..=g.count {
-            if n * g.mem > mem || n * g.cpu > cpu {
-                break;
-            }
-            best = best.max(n as f32 * g.value + brute(rest, mem - n * g.mem, cpu - n * g.cpu));
+            let left = [0, 1, 2].map(|d| free[d].checked_sub(n * g.steps()[d]));
+            let [Some(mem), Some(cpu), Some(gpu)] = left else { break };
+            best = best.max(n as f32 * g.value + brute(rest, [mem, cpu, gpu]));
         }
         best
     }
 
+    /// In all dimensions; among the cases are many where some cannot bind, and
+    /// leaving those out must not change the value.
     #[test]
     fn as_good_as_trying_every_set() {
         let mut rng = StdRng::seed_from_u64(7);
         let mut sack = Knapsack::default();
-        for round in 0..300 {
+        for round in 0..600 {
+            let gpus = if round % 3 == 0 { 1 } else { 5 };
             let groups: Vec<Group> = (0..rng.random_range(1..5))
                 .map(|id| Group {
                     id,
                     count: rng.random_range(0..6),
                     mem: rng.random_range(0..9),
                     cpu: rng.random_range(0..9),
+                    gpu: rng.random_range(0..gpus),
                     value: value(rng.random_range(0.0..8.0), 8.0),
                 })
                 .collect();
-            let (mem, cpu) = (rng.random_range(0..30), rng.random_range(0..30));
-            let took = sack.fill(&groups, mem, cpu);
+            let free = [rng.random_range(0..30), rng.random_range(0..30), rng.random_range(0..12)];
+            let took = sack.fill(&groups, free);
             let total =
                 |f: &dyn Fn(&Group) -> f32| -> f32 { took.iter().map(|(id, n)| f(&groups[*id]) * *n as f32).sum() };
-            assert!(total(&|g| g.mem as f32) <= mem as f32, "round {round}");
-            assert!(total(&|g| g.cpu as f32) <= cpu as f32, "round {round}");
+            for (d, free) in free.iter().enumerate() {
+                assert!(total(&|g| g.steps()[d] as f32) <= *free as f32, "round {round}");
+            }
             assert!(took.iter().all(|(id, n)| *n <= groups[*id].count));
-            let (got, want) = (total(&|g| g.value), brute(&groups, mem, cpu));
+            let (got, want) = (total(&|g| g.value), brute(&groups, free));
             assert!((got - want).abs() < 1e-3, "round {round}: {got} {want}");
         }
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,10 +4,10 @@
 
 pub mod knapsack;
 
-use crate::bookkeeping::Images;
+use crate::bookkeeping::{Amounts, Images};
 use crate::protocol::cloud::MachineType;
 use crate::protocol::user::{Form, JobSpec, TASKS_LIMIT, Urgency};
-use knapsack::{CPU_STEPS, Group, Knapsack, value};
+use knapsack::{CPU_STEPS, GPU_STEPS, Group, Knapsack, value};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Free room on one machine.
@@ -21,10 +21,16 @@
     pub gpus: f64,
     pub mem_gb: f64,
     pub total_cores: f64,
+    pub total_gpus: f64,
+    pub total_mem_gb: f64,
     pub pull_gb_per_s: f64,
-    /// Images that are believed to be on the machine: those of the tasks
-    /// placed there, and those it held before.
+    /// Images of the tasks placed there, and those that the machine is known
+    /// to hold.
     pub images: [Images; 2],
+    /// What arrays take there, which can make room for services.
+    pub arrays: Amounts,
+    /// What is still to come of the images that it fetches.
+    pub fetching_gb: f64,
 }
 
 impl Room {
@@ -38,8 +44,12 @@
             gpus: t.gpus,
             mem_gb: t.mem_gb,
             total_cores: t.cores,
+            total_gpus: t.gpus,
+            total_mem_gb: t.mem_gb,
             pull_gb_per_s: t.pull_gb_per_s,
             images: Default::default(),
+            arrays: Amounts::default(),
+            fetching_gb: 0.0,
         }
     }
 
@@ -52,23 +62,55 @@
 
     /// How many tasks like the job's there is room for, however many it has.
     pub fn fits(&self, spec: &JobSpec) -> u32 {
-        if self.cores + SLACK < spec.cores || !self.allowed(spec) {
+        self.fits_beside(spec, &Amounts::default())
+    }
+
+    /// The same if `gone` were free as well.
+    fn fits_beside(&self, spec: &JobSpec, gone: &Amounts) -> u32 {
+        if self.cores + gone.cores + SLACK < spec.cores || !self.allowed(spec) {
             return 0;
         }
         let times = |free: f64, need: f64| {
             if need > 0.0 { ((free + SLACK) / need).floor().max(0.0) } else { f64::INFINITY }
         };
-        let n = times(self.cores, spec.cores).min(times(self.gpus, spec.gpus)).min(times(self.mem_gb, spec.mem_gb));
+        let n = times(self.cores + gone.cores, spec.cores)
+            .min(times(self.gpus + gone.gpus, spec.gpus))
+            .min(times(self.mem_gb + gone.mem_gb, spec.mem_gb));
         n.min(f64::from(TASKS_LIMIT)) as u32
     }
 
+    /// The part of the machine that is free, by what is scarcest there: on a
+    /// machine whose GPUs are taken, free cores are no room.
+    pub fn free_share(&self) -> f64 {
+        let part = |free: f64, total: f64| if total > 0.0 { (free / total).max(0.0) } else { 1.0 };
+        part(self.cores, self.total_cores)
+            .min(part(self.gpus, self.total_gpus))
+            .min(part(self.mem_gb, self.total_mem_gb))
+    }
+
+    /// The same, as so many of its cores.
+    pub fn free_cores(&self) -> f64 {
+        self.free_share() * self.total_cores
+    }
+
     pub fn has_image(&self, spec: &JobSpec) -> bool {
         self.images.iter().any(|i| i.contains(&spec.bundle))
     }
 
+    /// Seconds until the image is there. Fetches share the machine's rate, so
+    /// all that is under way counts.
+    pub fn image_s(&self, spec: &JobSpec) -> f64 {
+        let gb = match () {
+            _ if self.images[1].contains(&spec.bundle) => 0.0,
+            _ if self.images[0].contains(&spec.bundle) => self.fetching_gb,
+            _ => self.fetching_gb + spec.size_gb,
+        };
+        if gb > 0.0 { gb / self.pull_gb_per_s } else { 0.0 }
+    }
+
     /// Whether the image is on the machine, or comes within that time.
     pub fn starts_within(&self, spec: &JobSpec, seconds: f64) -> bool {
-        self.has_image(spec) || spec.size_gb <= self.pull_gb_per_s * seconds * FETCH_MARGIN
+        self.image_s(spec) <= seconds * FETCH_MARGIN
     }
 
     /// A task that was counted has gone.
@@ -114,6 +156,9 @@
     pub hopeless: bool,
     /// The aim asks for the end this soon after the submission.
     pub aim_s: Option<f64>,
+    /// So many of its tasks find a place where the image is before it could be
+    /// fetched elsewhere.
+    pub stay: u32,
 }
 
 impl Waiting<'_> {
@@ -164,7 +209,9 @@
     let mut starts = Vec::new();
     waiting.sort_by(|a, b| b.spec.urgency.cmp(&a.spec.urgency).then(b.waited_s.total_cmp(&a.waited_s)));
     for w in waiting.iter_mut() {
-        w.hopeless = !rooms.iter().any(|r| r.allowed(w.spec) && w.starts_soon(r));
+        // Waiting pays only for room that there is, or that arrays can make.
+        w.hopeless =
+            !rooms.iter().any(|r| w.starts_soon(r) && w.zone_room(&r.site) > 0 && r.fits_beside(w.spec, &r.arrays) > 0);
     }
     let least = waiting.iter().map(|w| w.spec.cores).fold(f64::INFINITY, f64::min);
     let mut reserved = BTreeSet::new();
@@ -216,17 +263,26 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Pass {
     /// The machine holds the image.
-    Local,
+    Held,
+    /// It fetches the image already.
+    Coming,
+    /// It fetches nothing, and takes tasks of one image only: images that are
+    /// fetched at the same time come the later for all.
+    Alone,
     /// The image comes soon enough for the aim.
     Soon,
     /// The aim is lost, or no machine of the block could keep it.
     Any,
 }
 
-const PASSES: [Pass; 3] = [Pass::Local, Pass::Soon, Pass::Any];
+const PASSES: [Pass; 5] = [Pass::Held, Pass::Coming, Pass::Alone, Pass::Soon, Pass::Any];
 
 fn start(room: &mut Room, w: &mut Waiting, n: u32, starts: &mut Vec<Start>) {
     room.take(w.spec, n);
+    if !room.has_image(w.spec) {
+        std::rc::Rc::make_mut(&mut room.images[0]).insert(w.spec.bundle.clone());
+        room.fetching_gb += w.spec.size_gb;
+    }
     *w.zones.entry(room.site.clone()).or_default() += n;
     for index in w.tasks.drain(..n as usize) {
         starts.push(Start { uid: w.spec.uid.clone(), index, machine: room.machine.clone() });
@@ -246,35 +302,49 @@
     sack: &mut Knapsack,
     starts: &mut Vec<Start>,
 ) {
-    let steps = |gb: f64| ((gb - SLACK) / rules.step_gb).ceil().max(0.0) as u32;
+    let steps = |amount: f64, per_one: f64| ((amount - SLACK) * per_one).ceil().max(0.0) as u32;
+    let mem_steps = 1.0 / rules.step_gb;
     let mut groups = Vec::new();
+    let mut image: Option<&str> = None;
     for (id, w) in jobs.iter().enumerate() {
-        let count = able(room, w);
         let (late, pass) = tier;
+        if w.spec.form == Form::Ensemble || w.tasks.is_empty() || w.late() != late {
+            continue;
+        }
+        let lost = || w.hopeless || w.start_within_s.is_none_or(|s| w.waited_s > s);
         let goes = match pass {
-            Pass::Local => room.has_image(w.spec),
+            Pass::Held => room.images[1].contains(&w.spec.bundle),
+            Pass::Coming => room.has_image(w.spec),
+            Pass::Alone => {
+                room.fetching_gb <= 0.0 && image.is_none_or(|i| i == w.spec.bundle) && (w.starts_soon(room) || lost())
+            }
             Pass::Soon => w.starts_soon(room),
-            Pass::Any => w.hopeless || w.start_within_s.is_none_or(|s| w.waited_s > s),
+            Pass::Any => lost(),
         };
-        if w.spec.form == Form::Ensemble || count == 0 || w.late() != late || !goes {
+        let local = matches!(pass, Pass::Held | Pass::Coming);
+        let stay = if local { 0 } else { w.stay };
+        let count = if goes { able(room, w).min((w.tasks.len() as u32).saturating_sub(stay)) } else { 0 };
+        if count == 0 {
             continue;
         }
+        if pass == Pass::Alone {
+            image = Some(&w.spec.bundle);
+        }
         groups.push(Group {
             id,
             count,
-            mem: steps(w.spec.mem_gb),
-            cpu: ((w.spec.cores - SLACK) * CPU_STEPS).ceil().max(0.0) as u32,
+            mem: steps(w.spec.mem_gb, mem_steps),
+            cpu: steps(w.spec.cores, CPU_STEPS),
+            gpu: steps(w.spec.gpus, GPU_STEPS),
             value: value(w.spec.cores, room.total_cores) + TIE * (1.0 - id as f32 / jobs.len() as f32),
         });
     }
     if groups.is_empty() {
         return;
     }
-    let free_mem = ((room.mem_gb + SLACK) / rules.step_gb).floor().max(0.0) as u32;
-    let free_cpu = ((room.cores + SLACK) * CPU_STEPS).floor().max(0.0) as u32;
-    for (id, n) in sack.fill(&groups, free_mem, free_cpu) {
-        // GPUs are no dimension of the table; what does not fit waits.
-        let n = n.min(able(room, jobs[id]));
+    let free = |amount: f64, per_one: f64| ((amount + SLACK) * per_one).floor().max(0.0) as u32;
+    let free = [free(room.mem_gb, mem_steps), free(room.cores, CPU_STEPS), free(room.gpus, GPU_STEPS)];
+    for (id, n) in sack.fill(&groups, free) {
         start(room, jobs[id], n, starts);
     }
 }
@@ -308,12 +378,13 @@
 ) -> Option<(usize, Vec<Victim<'a>>)> {
     let mut best: Option<(f64, usize, Vec<Victim>)> = None;
     for (at, (room, victims)) in rooms.iter().enumerate() {
-        let local = room.has_image(spec);
         if !room.allowed(spec) || !room.starts_within(spec, within_s) {
             continue;
         }
         let mut able: Vec<&Victim> = victims.iter().filter(|v| v.spec.urgency < spec.urgency).collect();
         able.sort_by(|a, b| a.spec.urgency.cmp(&b.spec.urgency).then(a.cost.total_cmp(&b.cost)));
+        // An image on the machine is worth the work lost while it would be fetched.
+        let fetch = room.image_s(spec) * spec.cores;
         let mut room = room.clone();
         let mut chosen: Vec<Victim> = Vec::new();
         for v in able {
@@ -323,9 +394,7 @@
             room.put_back(v.spec);
             chosen.push(v.clone());
         }
-        // An image on the machine is worth the work lost while it would be fetched.
-        let fetch = if local { 0.0 } else { spec.size_gb / room.pull_gb_per_s };
-        let cost = chosen.iter().map(|v| v.cost).sum::<f64>() + fetch * spec.cores;
+        let cost = chosen.iter().map(|v| v.cost).sum::<f64>() + fetch;
         if room.fits(spec) > 0 && !chosen.is_empty() && best.as_ref().is_none_or(|b| cost < b.0) {
             best = Some((cost, at, chosen));
         }
@@ -333,32 +402,53 @@
     best.map(|(_, at, chosen)| (at, chosen))
 }
 
-/// All tasks of an ensemble, or none.
+/// All tasks of an ensemble, or none: where the image is there first, as the
+/// whole gang waits for the last fetch; else on the fullest machines.
 fn gang(rooms: &mut [Room], w: &mut Waiting, reserved: &BTreeSet<String>, starts: &mut Vec<Start>) {
     let mut sites: Vec<Option<String>> = vec![None];
     if w.spec.together {
         let all: BTreeSet<String> = rooms.iter().map(|r| r.site.clone()).collect();
         sites = all.into_iter().map(Some).collect();
     }
+    let mut able: Vec<(usize, u32)> = rooms
+        .iter()
+        .enumerate()
+        .map(|(i, r)| (i, able(r, w)))
+        .filter(|(i, n)| *n > 0 && !reserved.contains(&rooms[*i].machine))
+        .collect();
+    let image_s: Vec<f64> = able.iter().map(|(i, _)| rooms[*i].image_s(w.spec)).collect();
+    let mut order: Vec<usize> = (0..able.len()).collect();
+    order.sort_by(|a, b| {
+        let free = |k: &usize| rooms[able[*k].0].free_cores();
+        image_s[*a].total_cmp(&image_s[*b]).then(free(a).total_cmp(&free(b))).then(a.cmp(b))
+    });
+    let mut best: Option<(f64, Vec<(usize, u32)>)> = None;
     for site in sites {
-        let mut trial = rooms.to_vec();
-        let mut tasks = Waiting { tasks: w.tasks.clone(), zones: w.zones.clone(), ..*w };
+        let mut left = w.tasks.len() as u32;
+        let mut zones = w.zones.clone();
+        let mut last_s: f64 = 0.0;
         let mut found = Vec::new();
-        for room in trial.iter_mut() {
-            let elsewhere = site.as_ref().is_some_and(|s| *s != room.site);
-            let n = able(room, &tasks);
-            if n > 0 && !elsewhere && !reserved.contains(&room.machine) {
-                start(room, &mut tasks, n, &mut found);
+        for k in order.iter().copied() {
+            let (i, n) = &mut able[k];
+            let here = &rooms[*i].site;
+            if left == 0 || site.as_ref().is_some_and(|s| s != here) {
+                continue;
+            }
+            let n = (*n).min(left).min(zone_room(w.spec, w.spec.parcels, &zones, here));
+            if n > 0 {
+                *zones.entry(here.clone()).or_default() += n;
+                left -= n;
+                last_s = last_s.max(image_s[k]);
+                found.push((*i, n));
             }
         }
-        if tasks.tasks.is_empty() {
-            rooms.clone_from_slice(&trial);
-            w.zones = tasks.zones;
-            w.tasks.clear();
-            starts.extend(found);
-            return;
+        if left == 0 && best.as_ref().is_none_or(|b| last_s < b.0) {
+            best = Some((last_s, found));
         }
     }
+    for (i, n) in best.map_or(Vec::new(), |b| b.1) {
+        start(&mut rooms[i], w, n, starts);
+    }
 }
 
 /// Keeps the emptiest machines that could ever hold the job's next task free.
@@ -387,8 +477,12 @@
             gpus: 0.0,
             mem_gb: 32.0,
             total_cores: 8.0,
+            total_gpus: 0.0,
+            total_mem_gb: 32.0,
             pull_gb_per_s: 0.25,
-            images: [Images::new([image.to_string()].into()), Images::default()],
+            images: [Images::default(), Images::new([image.to_string()].into())],
+            arrays: Amounts::default(),
+            fetching_gb: 0.0,
         }
     }
 
@@ -403,6 +497,7 @@
             start_within_s: None,
             hopeless: false,
             aim_s: None,
+            stay: 0,
         }
     }
 
@@ -482,4 +577,75 @@
         service.urgency = Urgency::Standard;
         assert!(preempt(&service, 1.0, &rooms).is_none());
     }
+
+    /// Four tasks with four images on one empty machine all waited for the sum
+    /// of the fetches: while it fetches one image it takes tasks of that only,
+    /// where other machines are free.
+    #[test]
+    fn an_empty_machine_takes_tasks_of_one_image() {
+        let (a, mut b) = (spec("run-1"), spec("run-2"));
+        b.bundle = "other".into();
+        let mut rooms = [room("m1", 8.0, ""), room("m2", 8.0, "")];
+        let starts = run(&mut rooms, vec![waits(&a, 2, 1.0, 1.0), waits(&b, 2, 1.0, 2.0)]);
+        assert!(starts.iter().all(|s| (s.uid == "run-1") == (s.machine == "m1")), "{starts:?}");
+        // Where there is no other, the second image comes after the first.
+        let starts = run(&mut [room("m1", 8.0, "")], vec![waits(&a, 2, 1.0, 1.0), waits(&b, 2, 1.0, 2.0)]);
+        assert_eq!(starts.len(), 4);
+    }
+
+    /// Tasks shorter than the fetch were sent to machines without the image,
+    /// and started later than those that stayed where it was.
+    #[test]
+    fn tasks_stay_where_their_image_is_if_that_is_sooner() {
+        let s = spec("run-1");
+        let mut w = waits(&s, 6, 1.0, 1.0);
+        w.stay = 2;
+        let starts = run(&mut [room("m1", 1.0, "img"), room("m2", 8.0, "")], vec![w]);
+        let on = |m: &str| starts.iter().filter(|s| s.machine == m).count();
+        assert_eq!((on("m1"), on("m2")), (1, 3));
+    }
+
+    /// GPUs bind where cores are left: a set that cannot stand is no answer,
+    /// and a machine with its GPUs taken is full.
+    #[test]
+    fn gpus_bind_like_cores() {
+        let (mut big, mut small) = (spec("run-1"), spec("run-2"));
+        (big.gpus, small.gpus) = (2.0, 1.0);
+        let mut r = room("m1", 8.0, "img");
+        (r.gpus, r.total_gpus) = (4.0, 4.0);
+        let starts = run(std::slice::from_mut(&mut r), vec![waits(&big, 4, 1.0, 1.0), waits(&small, 3, 1.0, 2.0)]);
+        assert_eq!(starts.iter().filter(|s| s.uid == "run-2").count(), 2);
+        assert_eq!(starts.iter().filter(|s| s.uid == "run-1").count(), 1);
+        assert_eq!(r.free_cores(), 0.0);
+    }
+
+    /// A gang waits for its last fetch, and its first tasks give up meanwhile:
+    /// it goes where all of it finds the image, whatever the machines' names.
+    #[test]
+    fn a_gang_goes_where_its_image_is() {
+        let mut gang = spec("run-1");
+        gang.form = Form::Ensemble;
+        gang.together = true;
+        gang.cores = 8.0;
+        let at = |name: &str, site: &str, image: &str| Room { site: site.into(), ..room(name, 8.0, image) };
+        let sites = [("m1", "a", "img"), ("m2", "a", ""), ("m3", "b", ""), ("m4", "b", "img"), ("m5", "b", "img")];
+        let mut rooms = sites.map(|(name, site, image)| at(name, site, image));
+        let starts = run(&mut rooms, vec![waits(&gang, 2, 1.0, 1.0)]);
+        let on: Vec<&str> = starts.iter().map(|s| s.machine.as_str()).collect();
+        assert_eq!(on, ["m4", "m5"]);
+    }
+
+    /// A replica waited for a machine with its image that was full of other
+    /// services: only room that is there, or that arrays can make, is waited for.
+    #[test]
+    fn nothing_is_waited_for_where_no_room_can_come() {
+        let mut service = spec("run-1");
+        (service.form, service.size_gb) = (Form::Standing, 10.0);
+        let wait = || Waiting { start_within_s: Some(4.0), ..waits(&service, 1, 1.0, 1.0) };
+        let full = room("m1", 0.0, "img");
+        let starts = run(&mut [full.clone(), room("m2", 8.0, "")], vec![wait()]);
+        assert_eq!(starts.len(), 1);
+        let yields = Room { arrays: Amounts { cores: 2.0, gpus: 0.0, mem_gb: 2.0 }, ..full };
+        assert!(run(&mut [yields, room("m2", 8.0, "")], vec![wait()]).is_empty());
+    }
 }
