--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -346,7 +346,9 @@
                 }
             }
             let zones = self.view.zones_of(j);
-            let blocks = blocks::Blocks { members: &members, rooms, queues: &others, grain: 1, zones: &zones };
+            let alike = BTreeMap::new();
+            let blocks =
+                blocks::Blocks { members: &members, rooms, queues: &others, grain: 1, zones: &zones, alike: &alike };
             let room = blocks.room(&j.spec);
             let fit = |m: &str| room.iter().find(|r| r.0 == m).map_or(0, |r| r.1);
             let mut need: BTreeMap<&str, u32> = BTreeMap::new();
@@ -354,7 +356,7 @@
                 *need.entry(m).or_default() += 1;
             }
             let short = need.iter().any(|(m, n)| fit(m) < i64::from(*n));
-            let spare = room.iter().any(|(m, fits, _)| *fits > i64::from(need.get(m).copied().unwrap_or(0)));
+            let spare = room.iter().any(|(m, fits)| *fits > i64::from(need.get(m).copied().unwrap_or(0)));
             let helps = short && spare;
             if !lost && !helps {
                 continue;
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -557,7 +557,13 @@
     ) -> Vec<Share> {
         let members: Vec<String> = self.view.members.keys().cloned().collect();
         let whole = spec.form == Form::Ensemble || spec.together || spec.apart;
-        let blocks = blocks::Blocks { members: &members, rooms, queues, grain: self.view.chunk_size, zones };
+        let mut alike = BTreeMap::new();
+        let same = |j: &&Job| j.spec.bundle == spec.bundle && j.spec.uid != spec.uid && j.waiting_count() > 0;
+        for share in self.view.jobs.values().filter(same).flat_map(|j| &j.rec.rec.shares) {
+            *alike.entry(share.member.clone()).or_default() += share.to + 1 - share.from;
+        }
+        let grain = self.view.chunk_size;
+        let blocks = blocks::Blocks { members: &members, rooms, queues, grain, zones, alike: &alike };
         blocks::lease(spec, waits, &blocks, &self.me, whole)
     }
 
--- a/src/coordination/blocks.rs
+++ b/src/coordination/blocks.rs
@@ -6,6 +6,7 @@
 use crate::placement::{Room, zone_room};
 use crate::protocol::user::JobSpec;
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Machines that share a record and shall go to another controller.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -143,52 +144,97 @@
     pub grain: u32,
     /// Tasks of the job per zone that are, or may still be, on machines.
     pub zones: &'a BTreeMap<String, u32>,
+    /// Waiting tasks with the job's image that are leased to each member: it
+    /// will be fetched there.
+    pub alike: &'a BTreeMap<String, u32>,
+}
+
+/// What one member's block has to offer a job.
+struct Offer<'a> {
+    member: &'a str,
+    /// Tasks it has room for once its queue is served, less than none where
+    /// the queue is longer.
+    fits: i64,
+    /// Those of them that find the image.
+    local: u32,
+    /// Machines that have the image, and tasks that will fetch it.
+    alike: u32,
 }
 
 impl Blocks<'_> {
     /// Tasks of the job that each member has room for once its queue is
-    /// served, less than none where the queue is longer; and those of them
-    /// that find the image.
-    pub fn room(&self, spec: &JobSpec) -> Vec<(&str, i64, u32)> {
+    /// served, less than none where the queue is longer.
+    pub fn room(&self, spec: &JobSpec) -> Vec<(&str, i64)> {
+        self.offers(spec).into_iter().map(|o| (o.member, o.fits)).collect()
+    }
+
+    fn queued(&self, spec: &JobSpec, member: &str) -> i64 {
+        (self.queues.get(member).copied().unwrap_or(0.0) / spec.cores.max(f64::MIN_POSITIVE)) as i64
+    }
+
+    fn offers(&self, spec: &JobSpec) -> Vec<Offer<'_>> {
         let room = room_by_member(self.rooms, spec, self.zones);
-        let queued = |m: &str| (self.queues.get(m).copied().unwrap_or(0.0) / spec.cores.max(f64::MIN_POSITIVE)) as i64;
-        let of = |m: &str| room.get(m).copied().unwrap_or_default();
-        self.members.iter().map(|m| (m.as_str(), i64::from(of(m).0) - queued(m), of(m).1)).collect()
+        let mut alike = self.alike.clone();
+        for (member, _) in self.rooms.iter().filter(|(_, r)| r.has_image(spec)) {
+            *alike.entry(member.clone()).or_default() += 1;
+        }
+        let offer = |m: &'_ String| {
+            let (all, local) = room.get(m.as_str()).copied().unwrap_or_default();
+            let fits = i64::from(all) - self.queued(spec, m);
+            (fits, local, alike.get(m).copied().unwrap_or(0))
+        };
+        let offers = self.members.iter().map(|m| (m, offer(m)));
+        offers.map(|(m, (fits, local, alike))| Offer { member: m, fits, local, alike }).collect()
     }
 }
 
+/// Draws lots for an image that no block has: all members draw the same.
+fn lot(bundle: &str, member: &str) -> u64 {
+    let mut h = DefaultHasher::new();
+    (bundle, member).hash(&mut h);
+    h.finish()
+}
+
 /// Leases a job's tasks to the members whose blocks can hold them: whole to
-/// one where it fits, best where the image is; else to the shortest queues.
-/// `waits` are the tasks in question, all others go along.
+/// one where it fits, best where the image is or will be, so that few machines
+/// fetch it; else to the shortest queues. `waits` are the tasks in question,
+/// all others go along.
 pub fn lease(spec: &JobSpec, waits: &[u32], blocks: &Blocks, me: &str, whole: bool) -> Vec<Share> {
     let everything = |m: &str| vec![Share { member: m.to_string(), from: 0, to: spec.parcels - 1 }];
     let n = waits.len() as u32;
-    let mut order = blocks.room(spec);
-    order.sort_by_key(|(m, fits, local)| (std::cmp::Reverse((*local).min(n)), std::cmp::Reverse(*fits), *m != me));
-    let Some(best) = order.iter().max_by_key(|o| o.1) else {
+    let mut order = blocks.offers(spec);
+    order.sort_by_key(|o| {
+        use std::cmp::Reverse;
+        (Reverse(o.local.min(n)), Reverse(o.alike), Reverse(o.fits), o.member != me)
+    });
+    let Some(most) = order.iter().map(|o| o.fits).max() else {
         return everything(me);
     };
-    if whole {
-        return everything(best.0);
+    if let Some(holds) = order.iter().find(|o| o.fits >= i64::from(n)) {
+        return everything(holds.member);
     }
-    if let Some(holds) = order.iter().find(|o| o.1 >= i64::from(n)) {
-        return everything(holds.0);
+    if whole {
+        // It has to wait: with others of its image, unless much longer there.
+        let queue = order.iter().map(|o| blocks.queued(spec, o.member)).sum::<i64>() / order.len() as i64;
+        let bears = order.iter().filter(|o| o.fits >= most - queue);
+        let to = bears.max_by_key(|o| (o.alike, lot(&spec.bundle, o.member)));
+        return everything(to.map_or(me, |o| o.member));
     }
     let grain = blocks.grain.max(1);
     let mut given = vec![0i64; order.len()];
     let mut shares: Vec<Share> = Vec::new();
     for part in waits.chunk_by(|a, b| a / grain == b / grain) {
-        let free = |i: &usize| order[*i].1 - given[*i];
+        let free = |i: &usize| order[*i].fits - given[*i];
         let Some(i) = (0..order.len()).max_by_key(|i| (free(i), std::cmp::Reverse(*i))) else { break };
         given[i] += part.len() as i64;
         match shares.last_mut() {
-            Some(last) if last.member == order[i].0 => {}
+            Some(last) if last.member == order[i].member => {}
             last => {
                 let from = last.map_or(0, |l| {
                     l.to = part[0] / grain * grain - 1;
                     l.to + 1
                 });
-                shares.push(Share { member: order[i].0.to_string(), from, to: spec.parcels - 1 });
+                shares.push(Share { member: order[i].member.to_string(), from, to: spec.parcels - 1 });
             }
         }
     }
@@ -209,7 +255,14 @@
         s.parcels = 30;
         let members = ["a", "b", "c"].map(String::from);
         let queues = BTreeMap::from([("a".to_string(), 40.0), ("b".to_string(), 5.0)]);
-        let blocks = Blocks { members: &members, rooms: &[], queues: &queues, grain: 10, zones: &BTreeMap::new() };
+        let blocks = Blocks {
+            members: &members,
+            rooms: &[],
+            queues: &queues,
+            grain: 10,
+            zones: &BTreeMap::new(),
+            alike: &BTreeMap::new(),
+        };
         let waits: Vec<u32> = (0..30).collect();
         let shares = lease(&s, &waits, &blocks, "a", false);
         let of = |m: &str| shares.iter().filter(|s| s.member == m).map(|s| s.to - s.from + 1).sum::<u32>();
@@ -232,12 +285,34 @@
         };
         let rooms = [room("a", "x", 8.0), room("b", "x", 2.0), room("b", "y", 3.0)];
         let members = ["a", "b"].map(String::from);
-        let (queues, zones) = (BTreeMap::new(), BTreeMap::new());
-        let blocks = Blocks { members: &members, rooms: &rooms, queues: &queues, grain: 8, zones: &zones };
+        let (queues, zones, alike) = Default::default();
+        let blocks =
+            Blocks { members: &members, rooms: &rooms, queues: &queues, grain: 8, zones: &zones, alike: &alike };
         let holder = |s: &JobSpec| lease(s, &[0, 1, 2, 3], &blocks, "a", true)[0].member.clone();
         s.apart = true;
         assert_eq!(holder(&s), "b");
         (s.apart, s.together) = (false, true);
         assert_eq!(holder(&s), "a");
     }
+
+    /// Each block had a few replicas of every image, each on a machine of its
+    /// own that had to fetch it: jobs wait where their image is or will be.
+    #[test]
+    fn jobs_with_one_image_gather_in_one_block() {
+        let mut s = spec("run-1");
+        s.form = crate::protocol::user::Form::Standing;
+        let members = ["a", "b", "c"].map(String::from);
+        let holder = |queues: &[(&str, f64)], alike: &[(&str, u32)]| {
+            let queues = queues.iter().map(|(m, q)| (m.to_string(), *q)).collect();
+            let alike = alike.iter().map(|(m, n)| (m.to_string(), *n)).collect();
+            let zones = BTreeMap::new();
+            let blocks =
+                Blocks { members: &members, rooms: &[], queues: &queues, grain: 8, zones: &zones, alike: &alike };
+            lease(&s, &[0, 1], &blocks, "a", true)[0].member.clone()
+        };
+        assert_eq!(holder(&[("a", 4.0), ("b", 2.0), ("c", 6.0)], &[("c", 2)]), "c");
+        assert_eq!(holder(&[("a", 4.0), ("b", 2.0), ("c", 6.0)], &[("b", 1), ("c", 2)]), "c");
+        // Not behind a queue that is much longer than the others.
+        assert_eq!(holder(&[("a", 4.0), ("b", 2.0), ("c", 60.0)], &[("c", 2)]), "b");
+    }
 }
