--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -114,10 +114,19 @@
 }
 
 impl Amounts {
+    /// Of so many of the job's tasks.
+    pub fn of(spec: &JobSpec, times: f64) -> Amounts {
+        Amounts { cores: spec.cores * times, gpus: spec.gpus * times, mem_gb: spec.mem_gb * times }
+    }
+
     pub fn add(&mut self, spec: &JobSpec, times: f64) {
-        self.cores += spec.cores * times;
-        self.gpus += spec.gpus * times;
-        self.mem_gb += spec.mem_gb * times;
+        self.plus(Amounts::of(spec, times), 1.0);
+    }
+
+    pub fn plus(&mut self, other: Amounts, times: f64) {
+        self.cores += other.cores * times;
+        self.gpus += other.gpus * times;
+        self.mem_gb += other.mem_gb * times;
     }
 }
 
@@ -208,8 +217,7 @@
     pub finished: Vec<(JobSpec, u64)>,
     /// Chunks whose job record has not been seen yet.
     orphans: BTreeMap<(String, u32), Versioned<ChunkRec>>,
-    /// Version of each limited team's record: it changes with every start.
-    pub teams: BTreeMap<String, u64>,
+    pub teams: Versions<TeamRec>,
 }
 
 impl View {
@@ -237,10 +245,7 @@
                 }
             }
             Some(Key::Packs) => self.packs_version = version.max(self.packs_version),
-            Some(Key::Team(name)) => {
-                let known = self.teams.entry(name.to_string()).or_default();
-                *known = version.max(*known);
-            }
+            Some(Key::Team(name)) => keep_named(&mut self.teams, name, data, version),
             Some(Key::Job(uid)) => {
                 if let Some(rec) = from_value(data) {
                     self.put_job(uid, rec, version);
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -15,6 +15,9 @@
 /// recorded a second time by a controller that has not seen the pack.
 pub const PACKS_KEY: &str = "fq/packs";
 
+/// Where the records of teams lie.
+pub const TEAMS: &str = "fq/q/";
+
 /// A live controller; the key hangs on its lease. A restart is a new incarnation.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MemberRec {
@@ -175,10 +178,18 @@
     format!("fq/t/{uid}/{chunk}")
 }
 
-/// Changed by every start of a team that has a limit, so that two controllers
-/// cannot both use the last of it.
+/// How starts of a team that has a limit are made; absent: not strictly.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct TeamRec {
+    /// The limit is near: every start changes this record, so that two
+    /// controllers cannot both use the last of it.
+    pub strict: bool,
+    /// Tells one change from another.
+    pub count: u64,
+}
+
 pub fn team_key(name: &str) -> String {
-    format!("fq/q/{name}")
+    format!("{TEAMS}{name}")
 }
 
 pub fn pack_key(name: &str) -> String {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -8,10 +8,11 @@
 mod sync;
 mod work;
 
-use crate::bookkeeping::View;
 use crate::bookkeeping::aims::Aims;
 use crate::bookkeeping::records::{self, Versioned};
+use crate::bookkeeping::{Amounts, View};
 use crate::coordination::machine::Machine;
+use crate::coordination::parts::Parts;
 use crate::coordination::session::Session;
 use crate::effects::{Action, CallId, ConnId, Event, Instant, NoAnswer, Reply, Target};
 use crate::placement::knapsack::Knapsack;
@@ -45,8 +46,12 @@
 enum Why {
     Accept(String),
     Withdraw(String),
-    /// Starts and exits of one job; the machines that got starts.
-    Work(Vec<String>),
+    /// Starts and exits of one job; the machines that got starts, and the
+    /// part of a limit that these took without changing the team's record.
+    Work {
+        starts: Vec<String>,
+        part: Option<(String, Amounts)>,
+    },
     Lead,
     Member,
     Enrol,
@@ -58,6 +63,8 @@
     Mark,
     /// A machine that was released leaves the records.
     Forget,
+    /// A team comes near its limit.
+    Limit,
 }
 
 impl Why {
@@ -65,8 +72,8 @@
         match self {
             Why::Accept(_) => "accept",
             Why::Withdraw(_) => "withdraw",
-            Why::Work(starts) if starts.is_empty() => "exits",
-            Why::Work(_) => "starts",
+            Why::Work { starts, .. } if starts.is_empty() => "exits",
+            Why::Work { .. } => "starts",
             Why::Lead => "lead",
             Why::Member => "member",
             Why::Enrol => "enrol",
@@ -75,6 +82,7 @@
             Why::Relet => "relet",
             Why::Mark => "mark",
             Why::Forget => "forget",
+            Why::Limit => "limit",
         }
     }
 }
@@ -214,6 +222,11 @@
     heard: HashMap<String, Instant>,
     changes: BTreeMap<String, Change>,
     busy: BTreeSet<String>,
+    /// Records of jobs whose write was refused as outdated: it would be again
+    /// until the view has come to this revision.
+    outdated: BTreeMap<String, u64>,
+    /// What was taken of each team's limit without changing its record.
+    parts: BTreeMap<String, Parts>,
     patience: HashMap<String, Patience>,
     writes: Bucket,
     /// What was written since the last summary, by kind.
@@ -303,6 +316,8 @@
             heard: HashMap::new(),
             changes: BTreeMap::new(),
             busy: BTreeSet::new(),
+            outdated: BTreeMap::new(),
+            parts: BTreeMap::new(),
             patience: HashMap::new(),
             writes: Bucket::new(p.state.write_rps / n * WRITE_SHARE),
             written: BTreeMap::new(),
@@ -522,6 +537,9 @@
     fn txn(&mut self, txn: Txn, why: Why) {
         let mut keys: Vec<String> = txn.conds.iter().map(|c| c.key.clone()).collect();
         keys.retain(|k| !k.starts_with("fq/h/") && !k.starts_with("fq/b/") && k != records::LEAD_KEY);
+        // A team's record that is only looked at keeps nobody else from it.
+        let written = |k: &str| txn.ops.iter().any(|op| matches!(op, store::Op::Put { key, .. } if key == k));
+        keys.retain(|k| !k.starts_with(records::TEAMS) || written(k));
         self.send_txn(txn, why, keys);
     }
 
@@ -586,7 +604,12 @@
         }
         if done.is_none() {
             self.written.entry(why.name()).or_default().failed += 1;
-            tracing::debug!(status, ?why, "transaction not carried out");
+            let changed = result.as_ref().ok().and_then(|r| crate::protocol::decode::<store::Ledger>(&r.body).ok());
+            let changed = changed.map(|l| l.failed).unwrap_or_default();
+            tracing::debug!(status, ?why, ?changed, "transaction not carried out");
+        }
+        if done.is_some() {
+            self.record_changed(&txn);
         }
         match why {
             Why::Accept(uid) => {
@@ -594,10 +617,20 @@
                 self.accept_answer(&uid, done.is_some(), status, beaten);
             }
             Why::Withdraw(uid) => self.withdraw_answer(&uid, done.is_some(), status),
-            Why::Work(machines) => {
+            Why::Work { starts, part } => {
                 self.dirty = true;
+                if let Some((team, amounts)) = part {
+                    let carried_out = result.as_ref().ok().map(|r| r.status == 200);
+                    self.parts.entry(team).or_default().answered(amounts, carried_out, self.now);
+                }
+                if let Ok(r) = result.as_ref()
+                    && r.status == 409
+                    && let (Some(revision), Some(c)) = (ledger(r), txn.conds.first())
+                {
+                    self.outdated.insert(c.key.clone(), revision);
+                }
                 if done.is_some() {
-                    for m in machines {
+                    for m in starts {
                         self.push(&m);
                     }
                 }
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -165,7 +165,13 @@
             let change = self.changes.entry(job.clone()).or_insert_with(|| Change::new(now));
             let counts = index < j.spec.parcels && !j.is_done(index, size) && !j.withdrawn();
             if s.cause == Some(Cause::Done) && counts {
-                freed |= change.done.insert(index);
+                // A gang completes together: the reports of the others may be
+                // lost with their machines.
+                let all = j.spec.form == Form::Ensemble;
+                let (from, to) = if all { (0, j.spec.parcels) } else { (index, index + 1) };
+                for i in from..to {
+                    freed |= change.done.insert(i);
+                }
                 m.errors = 0;
             }
             let complete = j.spec.form == Form::Ensemble && j.placed == j.spec.parcels && !j.withdrawn();
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -5,7 +5,8 @@
 use crate::bookkeeping::Job;
 use crate::bookkeeping::records::{ChunkRec, Place, Share, add_to_ranges, count_ranges, in_ranges};
 use crate::coordination::blocks;
-use crate::placement::{Room, Rules, Start, Victim, Waiting, plan, preempt};
+use crate::coordination::parts::Limit;
+use crate::placement::{Room, Rules, Start, Victim, Waiting, plan, preempt, zone_room};
 use crate::protocol::store::{Cond, Op};
 use crate::protocol::user::{Form, JobSpec, Status};
 use crate::settings::Team;
@@ -13,6 +14,8 @@
 /// Estimates are often wrong by half: a job counts as late once its aim would
 /// be missed by a run of this part of the estimate.
 pub(super) const HOPE: f64 = 0.7;
+/// Below this part of its limit a team's starts need not exclude each other.
+const FAR_FROM_LIMIT: f64 = 0.25;
 /// Of an image that should have come, this part is taken to be still missing:
 /// rates vary by a third.
 const LEAST_TO_COME: f64 = 0.2;
@@ -37,6 +40,8 @@
             return;
         }
         self.adopt();
+        let revision = self.view.revision;
+        self.outdated.retain(|_, need| *need > revision);
         let starts = if self.fresh() { self.plan_starts() } else { Vec::new() };
         if self.fresh() {
             self.make_room(&starts);
@@ -107,7 +112,7 @@
             return;
         };
         let key = records::job_key(uid);
-        if self.busy.contains(&key) {
+        if self.busy.contains(&key) || self.outdated.contains_key(&key) {
             return;
         }
         let size = self.view.chunk_size;
@@ -141,6 +146,7 @@
         let completes = job.spec.form == Form::Ensemble && job.placed > 0;
         let attempt = if completes { tries } else { tries + 1 };
         let mut started = BTreeSet::new();
+        let mut started_tasks: u32 = 0;
         // The store takes four conditions for every change it allows: a job on
         // more machines than that starts in several transactions.
         let ops = self.set.settings.state.txn_ops;
@@ -166,6 +172,7 @@
             rec.tries = attempt;
             machines.insert(s.machine.clone());
             started.insert(s.machine.clone());
+            started_tasks += 1;
         }
         if chunks.is_empty() {
             return;
@@ -194,15 +201,32 @@
                 txn.conds.push(Cond { key: records::chunk_key(uid, *n), entry_no: c.version });
             }
         }
-        let team = self.set.settings.teams.iter().find(|t| t.name == job.spec.desk);
-        if !started.is_empty() && team.is_some_and(limited) {
-            let key = records::team_key(&job.spec.desk);
-            if self.busy.contains(&key) {
-                return; // exits are seen again in the next report
+        let mut part = None;
+        let team = self.set.settings.teams.iter().find(|t| t.name == job.spec.desk && limited(t));
+        if let Some(team) = team.filter(|_| started_tasks > 0) {
+            let key = records::team_key(&team.name);
+            let need = Amounts::of(&job.spec, f64::from(started_tasks));
+            let (cpus, gpus) = self.used(team);
+            let (n, age) = (self.set.controllers(), self.report_s(1.0));
+            let parts = self.parts.entry(team.name.clone()).or_default();
+            let rec = self.view.teams.get(&team.name);
+            let (strict, version) = rec.map_or((false, 0), |r| (r.rec.strict, r.version));
+            let near = !parts.allow(need, cpus, gpus, n, self.now, age);
+            if near && !strict {
+                // Nothing is started until all see that starts exclude each other now.
+                return self.near_limit(key, version);
+            } else if strict {
+                // The view must show what was started before the record was.
+                if self.busy.contains(&key) || self.view.revision < version {
+                    return; // exits are seen again in the next report
+                }
+                let far = |l: Limit| l.max <= 0.0 || l.used <= l.max * FAR_FROM_LIMIT;
+                let rec = records::TeamRec { strict: !(far(cpus) && far(gpus)), count: self.next_call };
+                txn.ops.push(Op::Put { key: key.clone(), data: records::to_value(&rec), lease: None });
+            } else {
+                part = Some((team.name.clone(), need));
             }
-            let version = self.view.teams.get(&job.spec.desk).copied().unwrap_or(0);
-            txn.conds.push(Cond { key: key.clone(), entry_no: version });
-            txn.ops.push(Op::Put { key, data: records::to_value(&self.next_call), lease: None });
+            txn.conds.push(Cond { key, entry_no: version });
         }
         let others: u32 =
             job.chunks.iter().filter(|(n, _)| !chunks.contains_key(n)).map(|(_, c)| count_ranges(&c.rec.done)).sum();
@@ -234,7 +258,10 @@
                 txn.ops.push(Op::Delete { key });
             }
         }
-        self.txn(txn, Why::Work(started.into_iter().collect()));
+        if let Some((team, amounts)) = &part {
+            self.parts.entry(team.clone()).or_default().sent(*amounts);
+        }
+        self.txn(txn, Why::Work { starts: started.into_iter().collect(), part });
     }
 
     /// Rooms on this controller's machines, or on everyone's with their owners.
@@ -316,16 +343,47 @@
         rooms
     }
 
-    /// What is left of a team's limit, in CPUs and GPUs. Places count until
+    /// What a team uses of its limits, in CPUs and GPUs. Places count until
     /// it is proved that the task is gone, on unreachable machines too.
-    fn allowance(&self, team: &Team) -> (f64, f64) {
-        let mut used = (0.0, 0.0);
+    fn used(&self, team: &Team) -> (Limit, Limit) {
+        let mut used = Amounts::default();
         for j in self.view.jobs.values().filter(|j| j.spec.desk == team.name) {
-            used.0 += j.spec.cores * f64::from(j.placed);
-            used.1 += j.spec.gpus * f64::from(j.placed);
+            used.add(&j.spec, f64::from(j.placed));
+        }
+        (Limit { used: used.cores, max: team.cpus_max }, Limit { used: used.gpus, max: team.gpus_max })
+    }
+
+    /// What is left of them.
+    fn allowance(&self, team: &Team) -> (f64, f64) {
+        let left = |l: Limit| if l.max > 0.0 { l.max - l.used } else { f64::INFINITY };
+        let (cpus, gpus) = self.used(team);
+        (left(cpus), left(gpus))
+    }
+
+    /// From here on every start of the team changes its record. The view that
+    /// shows this change shows all starts that did not.
+    fn near_limit(&mut self, key: String, version: u64) {
+        if self.busy.contains(&key) {
+            return;
+        }
+        let rec = records::TeamRec { strict: true, count: self.next_call };
+        let txn = Txn {
+            conds: vec![Cond { key: key.clone(), entry_no: version }],
+            ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
+        };
+        self.txn(txn, Why::Limit);
+    }
+
+    /// A transaction that changed teams' records was carried out.
+    pub(super) fn record_changed(&mut self, txn: &Txn) {
+        for op in &txn.ops {
+            if let Op::Put { key, .. } = op
+                && let Some(team) = key.strip_prefix(records::TEAMS)
+                && let Some(parts) = self.parts.get_mut(team)
+            {
+                parts.record_changed();
+            }
         }
-        let left = |max: f64, used: f64| if max > 0.0 { max - used } else { f64::INFINITY };
-        (left(team.cpus_max, used.0), left(team.gpus_max, used.1))
     }
 
     fn plan_starts(&mut self) -> Vec<Start> {
@@ -355,7 +413,8 @@
             }
             let patience = self.patience.entry(uid.clone()).or_default();
             let since = *patience.waiting_since.get_or_insert(now);
-            if patience.not_before > now || self.busy.contains(&records::job_key(uid)) {
+            let key = records::job_key(uid);
+            if patience.not_before > now || self.busy.contains(&key) || self.outdated.contains_key(&key) {
                 continue;
             }
             // Most of the time under load nothing fits anywhere: be quick then.
@@ -507,19 +566,31 @@
             // Where no machine keeps the aim any more, or has room to make, a
             // late start is still better than none.
             let since = self.patience.get(uid).and_then(|p| p.waiting_since).unwrap_or(now);
-            let hopeless = !rooms.iter().any(|(r, _)| r.allowed(&job.spec) && r.starts_within(&job.spec, within));
+            let mut zones = self.view.zones_of(job);
+            for s in starts.iter().filter(|s| s.uid == *uid) {
+                if let Some(h) = self.view.hosts.get(&s.machine) {
+                    *zones.entry(h.rec.site.clone()).or_default() += 1;
+                }
+            }
+            let may = |zones: &BTreeMap<String, u32>, r: &Room| {
+                r.allowed(&job.spec) && zone_room(&job.spec, job.spec.parcels, zones, &r.site) > 0
+            };
+            let hopeless = !rooms.iter().any(|(r, _)| may(&zones, r) && r.starts_within(&job.spec, within));
             if hopeless || now.saturating_sub(since).as_secs_f64() > within {
                 within = f64::INFINITY;
             }
             for _ in 0..n {
-                if let Some((room, _)) =
-                    rooms.iter_mut().find(|(r, _)| r.fits(&job.spec) > 0 && r.starts_within(&job.spec, within))
+                if let Some((room, _)) = rooms
+                    .iter_mut()
+                    .find(|(r, _)| r.fits(&job.spec) > 0 && may(&zones, r) && r.starts_within(&job.spec, within))
                 {
                     room.take(&job.spec, 1);
+                    *zones.entry(room.site.clone()).or_default() += 1;
                     continue;
                 }
-                let Some((at, chosen)) = preempt(&job.spec, within, &rooms) else { break };
+                let Some((at, chosen)) = preempt(&job.spec, within, &zones, &rooms) else { break };
                 let (room, victims) = &mut rooms[at];
+                *zones.entry(room.site.clone()).or_default() += 1;
                 for v in chosen {
                     tracing::debug!(job = %v.uid, index = v.index, machine = %room.machine, for_job = %uid, "preempt");
                     room.put_back(v.spec);
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,5 +3,6 @@
 
 pub mod blocks;
 pub mod machine;
+pub mod parts;
 pub mod session;
 pub mod warrant;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -369,16 +369,19 @@
     pub cost: f64,
 }
 
-/// Which tasks to stop so that `spec` fits on a machine where it starts soon:
-/// the set that loses least work. The rules allow it for higher urgency only.
+/// Which tasks to stop so that `spec` fits on a machine where it starts soon,
+/// in a zone where the job may have it: the set that loses least work. The rules
+/// allow it for higher urgency only.
 pub fn preempt<'a>(
     spec: &JobSpec,
     within_s: f64,
+    zones: &BTreeMap<String, u32>,
     rooms: &[(Room, Vec<Victim<'a>>)],
 ) -> Option<(usize, Vec<Victim<'a>>)> {
     let mut best: Option<(f64, usize, Vec<Victim>)> = None;
     for (at, (room, victims)) in rooms.iter().enumerate() {
-        if !room.allowed(spec) || !room.starts_within(spec, within_s) {
+        let may = room.allowed(spec) && zone_room(spec, spec.parcels, zones, &room.site) > 0;
+        if !may || !room.starts_within(spec, within_s) {
             continue;
         }
         let mut able: Vec<&Victim> = victims.iter().filter(|v| v.spec.urgency < spec.urgency).collect();
@@ -572,10 +575,17 @@
             (room("m1", 0.0, "other"), vec![victim(0, &array, 0.0)]),
             (room("m2", 0.0, "img"), vec![victim(1, &array, 9.0), victim(2, &array, 3.0)]),
         ];
-        let (at, chosen) = preempt(&service, 1.0, &rooms).expect("room can be made");
+        let mut zones = BTreeMap::new();
+        let (at, chosen) = preempt(&service, 1.0, &zones, &rooms).expect("room can be made");
         assert_eq!((at, chosen.len(), chosen[0].index), (1, 1, 2));
+        // Where the job may have no more tasks room is made in vain, and was
+        // made again ten times a second.
+        service.apart = true;
+        zones.insert("a".into(), 1);
+        assert!(preempt(&service, 1.0, &zones, &rooms).is_none());
+        service.apart = false;
         service.urgency = Urgency::Standard;
-        assert!(preempt(&service, 1.0, &rooms).is_none());
+        assert!(preempt(&service, 1.0, &zones, &rooms).is_none());
     }
 
     /// Four tasks with four images on one empty machine all waited for the sum
--- a/src/protocol/store.rs
+++ b/src/protocol/store.rs
@@ -45,6 +45,9 @@
 #[derive(Debug, Deserialize)]
 pub struct Ledger {
     pub ledger_no: u64,
+    /// Of a refused transaction: the keys that had changed.
+    #[serde(default)]
+    pub failed: Vec<String>,
 }
 
 #[derive(Debug, Deserialize)]
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -162,7 +162,7 @@
 /// malformed, again and again, and its tasks never started.
 #[test]
 fn a_job_wider_than_a_transaction_starts_in_parts() {
-    let mut w = World::sized(9, Size { controllers: 3, machines: 60, write_rps: 80.0, txn_ops: 4 });
+    let mut w = World::sized(9, Size { controllers: 3, machines: 60, write_rps: 80.0, txn_ops: 4, team_max: 8.0 });
     let mut j = array(55, 3.0);
     j.cores = 8.0;
     w.submit("run-003", j);
@@ -187,7 +187,7 @@
 /// its workers had run out: the store's writes must not bound a restart.
 #[test]
 fn blocks_come_back_before_leases_run_out() {
-    let mut w = World::sized(11, Size { controllers: 7, machines: 60, write_rps: 12.0, txn_ops: 8 });
+    let mut w = World::sized(11, Size { controllers: 7, machines: 60, write_rps: 12.0, txn_ops: 8, team_max: 8.0 });
     w.cloud.most = 60;
     for n in 0..10 {
         w.submit(&format!("run-{n}09"), service(30));
@@ -206,7 +206,9 @@
 #[test]
 fn rules_hold_under_random_failures() {
     for seed in 0..12 {
-        let mut w = World::new(1000 + seed, 5);
+        let team_max = if seed % 2 == 0 { 8.0 } else { 24.0 };
+        let mut w =
+            World::sized(1000 + seed, Size { controllers: 3, machines: 5, write_rps: 80.0, txn_ops: 32, team_max });
         w.cloud.most = 7;
         random_failures(w, 14, 9, 200.0);
     }
@@ -216,9 +218,11 @@
 #[test]
 fn rules_hold_at_size() {
     for seed in 0..3 {
-        let mut w = World::sized(2000 + seed, Size { controllers: 7, machines: 100, write_rps: 12.0, txn_ops: 8 });
+        // From a limit that always binds to one that is shared out by parts.
+        let team_max = [20.0, 60.0, 120.0][seed as usize];
+        let size = Size { controllers: 7, machines: 100, write_rps: 12.0, txn_ops: 8, team_max };
+        let mut w = World::sized(2000 + seed, size);
         w.cloud.most = 110;
-        w.team_max = 20.0;
         random_failures(w, 60, 16, 400.0);
     }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -114,7 +114,6 @@
     pending: BTreeMap<u64, Pending>,
     next_conn: u64,
     starts: BTreeMap<usize, Duration>,
-    pub team_max: f64,
     pub restart_s: f64,
 }
 
@@ -122,7 +121,7 @@
     Duration::from_secs_f64(x)
 }
 
-fn settings(node: usize, size: Size, team_max: f64) -> Settings {
+fn settings(node: usize, size: Size) -> Settings {
     let mut t = format!(
         "member = \"perch-{node}\"\nzone = \"a\"\npublic_addr = \"10.0.0.{0}:8080\"\npeer_bind = \"10.0.0.{0}:8081\"\n",
         node + 1
@@ -132,7 +131,8 @@
     }
     t += "[outside]\ncloud = \"10.2.0.2:8443\"\nstate = \"10.2.0.1:2379\"\n[settings]\nzones = [\"a\", \"b\"]\n";
     t += &format!(
-        "[[settings.teams]]\nname = \"free\"\n[[settings.teams]]\nname = \"capped\"\ncpus_max = {team_max:.1}\n"
+        "[[settings.teams]]\nname = \"free\"\n[[settings.teams]]\nname = \"capped\"\ncpus_max = {:.1}\n",
+        size.team_max
     );
     t += "[[settings.objectives]]\nkind = \"wait\"\nclass = \"web\"\nwithin_s = 6.0\nshare = 0.9\n";
     t += &format!(
@@ -154,12 +154,14 @@
     pub machines: u32,
     pub write_rps: f64,
     pub txn_ops: usize,
+    /// CPUs that the team `capped` may use.
+    pub team_max: f64,
 }
 
 impl World {
     /// Three controllers and `machines` machines that are up.
     pub fn new(seed: u64, machines: u32) -> World {
-        World::sized(seed, Size { controllers: 3, machines, write_rps: 80.0, txn_ops: 32 })
+        World::sized(seed, Size { controllers: 3, machines, write_rps: 80.0, txn_ops: 32, team_max: 8.0 })
     }
 
     pub fn sized(seed: u64, size: Size) -> World {
@@ -178,7 +180,6 @@
             pending: BTreeMap::new(),
             next_conn: 1,
             starts: BTreeMap::new(),
-            team_max: 8.0,
             restart_s: 3.0,
         };
         for i in 0..size.controllers {
@@ -197,7 +198,7 @@
     fn boot(&mut self, i: usize) {
         let incarnation = self.rng.random();
         self.nodes[i].life += 1;
-        let c = Controller::new(settings(i, self.size, self.team_max), incarnation, self.now + s(1e9));
+        let c = Controller::new(settings(i, self.size), incarnation, self.now + s(1e9));
         self.nodes[i].logic = Some(c);
         // The controller's clock starts with the process.
         self.starts.insert(i, self.now);
@@ -484,7 +485,8 @@
             }
             assert!(cores <= 8.0, "seed {}: {name} is overfull", self.seed);
         }
-        assert!(used <= self.team_max + 1e-9, "seed {}: the team uses {used} of {}", self.seed, self.team_max);
+        let max = self.size.team_max;
+        assert!(used <= max + 1e-9, "seed {}: the team uses {used} of {max}", self.seed);
     }
 
     fn carry_out(&mut self, i: usize, life: u64, action: Action) {
