--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -5,7 +5,7 @@
 use super::work::{HOPE, end_op, queued};
 use super::*;
 use crate::coordination::blocks::{self, wanted_moves};
-use crate::fleet::{Demand, Offer, Rental, fits, wanted_rentals};
+use crate::fleet::{Demand, Offer, Rental, fits, take_up, wanted_rentals};
 use crate::placement::Room;
 use crate::protocol::cloud::{
     CATALOG, Catalog, Page, Phase, RELEASE_LIMIT, RENT, RENT_LIMIT, Rent, Rented as RentedBody, list_path,
@@ -611,7 +611,14 @@
             }
             if n > 0 {
                 let zones = self.view.zones_of(j);
-                let d = Demand { spec: &j.spec, tasks: n, thrifty: lost || growing, zones, of: j.spec.parcels };
+                let d = Demand {
+                    spec: &j.spec,
+                    tasks: n,
+                    thrifty: lost || growing,
+                    zones,
+                    of: j.spec.parcels,
+                    spare: false,
+                };
                 if soon(&j.spec) {
                     services.push(d);
                 } else {
@@ -669,11 +676,12 @@
             return;
         }
         let refused: BTreeSet<Offer> = self.refused.keys().cloned().collect();
-        let all = self.expected_rooms(Counted::All);
+        let mut all = self.expected_rooms(Counted::All);
         let (services, arrays) = self.demand(&all);
         let most = RENT_LIMIT * (self.cloud.level(self.now) as u32).max(1);
         let mut rentals = wanted_rentals(&services, self.expected_rooms(Counted::Lasting), &self.types, &refused, most);
         let left = most - rentals.iter().map(|r| r.number).sum::<u32>().min(most);
+        take_up(&services, &mut all);
         rentals.extend(wanted_rentals(&arrays, all, &self.types, &refused, left));
         // One request asks for so many at most.
         let parts = |r: Rental| {
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use crate::bookkeeping::Placements;
+use crate::fleet::given_up_after_s;
 use crate::protocol::cloud::{RELEASE, RELEASE_LIMIT, Release};
 use crate::protocol::encode;
 use crate::protocol::user::Form;
@@ -303,6 +304,7 @@
         for (name, m) in &self.machines {
             let last = m.heard_at.unwrap_or(m.owned_since);
             let limit = if m.heard_at.is_some() { limit } else { first };
+            let limit = self.given_up_after(name, limit);
             if m.heard_at.is_some_and(|t| now.saturating_sub(t) < recent) {
                 heard += 1;
             }
@@ -343,6 +345,17 @@
         }
     }
 
+    /// After how long silence this machine is given up; `limit` at least.
+    fn given_up_after(&self, name: &str, limit: Duration) -> Duration {
+        let (Some(load), Some(h)) = (self.view.loads.get(name), self.view.hosts.get(name)) else {
+            return limit;
+        };
+        let pull = self.machine_type(&h.rec.build).map_or(f64::INFINITY, |t| t.pull_gb_per_s);
+        let largest = load.bundles.values().map(|b| b.size_gb).fold(0.0, f64::max);
+        let lease_s = self.set.settings.workers.lease_s;
+        self.secs(given_up_after_s(limit.as_secs_f64(), largest / pull, lease_s))
+    }
+
     fn peers_hear(&self, machine: &str) -> bool {
         let limit = self.report_s(3.0).as_millis() as u64;
         self.peers.values().any(|p| {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,10 @@
 use crate::protocol::user::JobSpec;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A silent machine is not given up before this part of the time that the
+/// images of its tasks would take to come elsewhere.
+const RESTART_SHARE: f64 = 0.5;
+
 /// Tasks that have, or may soon have, nowhere to run.
 #[derive(Debug)]
 pub struct Demand<'a> {
@@ -18,13 +22,15 @@
     /// Tasks that the limits per zone count: the job's, or those of the room
     /// to spare.
     pub of: u32,
+    /// Room to spare, not tasks that wait.
+    pub spare: bool,
 }
 
 impl<'a> Demand<'a> {
     /// Room to spare for some tasks like the job's, in the zones as if they
     /// were a job of their own.
     pub fn spare(spec: &'a JobSpec, tasks: u32) -> Demand<'a> {
-        Demand { spec, tasks, thrifty: false, zones: BTreeMap::new(), of: tasks }
+        Demand { spec, tasks, thrifty: false, zones: BTreeMap::new(), of: tasks, spare: true }
     }
 
     fn room_in(&self, zones: &BTreeMap<String, u32>, site: &str) -> u32 {
@@ -46,11 +52,26 @@
     pub number: u32,
 }
 
+/// After how long a silent machine is given up. One that was only cut off goes
+/// on if it comes back within its lease; if it was given up, its tasks wait
+/// elsewhere for their images, `image_s`. Where that is long, it is given up
+/// later than at the ordinary `limit_s`, at the end of its lease at the latest.
+pub fn given_up_after_s(limit_s: f64, image_s: f64, lease_s: f64) -> f64 {
+    limit_s.max((image_s * RESTART_SHARE).min(lease_s))
+}
+
 /// Whether everything in demand fits in the rooms; takes them up.
 pub fn fits(demand: &[Demand], rooms: &mut [Room]) -> bool {
     demand.iter().all(|d| absorb(d, rooms).0 == 0)
 }
 
+/// Takes up the room that those tasks will use which wait already.
+pub fn take_up(demand: &[Demand], rooms: &mut [Room]) {
+    for d in demand.iter().filter(|d| !d.spare) {
+        absorb(d, rooms);
+    }
+}
+
 /// First-fit of one demand; what is left over, and its tasks per zone then.
 fn absorb(d: &Demand, rooms: &mut [Room]) -> (u32, BTreeMap<String, u32>) {
     let mut left = d.tasks;
@@ -239,4 +260,27 @@
         assert_eq!(sites(gang(), vec![room("a"), room("b"), room("b")]), []);
         assert_eq!(sites(gang(), vec![room("a"), room("b")]).iter().map(|r| r.1).sum::<u32>(), 1);
     }
+
+    /// Machines cut off for 20 s were given up after 15 s, and their tasks waited
+    /// 40 s and more for images elsewhere; with small images that is still right.
+    #[test]
+    fn machines_are_given_up_later_where_images_take_long() {
+        assert_eq!(given_up_after_s(5.0, 2.5, 18.0), 5.0);
+        assert_eq!(given_up_after_s(15.0, 50.0, 28.0), 25.0);
+        assert_eq!(given_up_after_s(15.0, 500.0, 28.0), 28.0);
+        assert_eq!(given_up_after_s(30.0, 500.0, 28.0), 30.0);
+    }
+
+    /// Machines that boot for services were room for gangs as well, which
+    /// therefore got none of their own until the services had taken it.
+    #[test]
+    fn room_that_services_will_take_is_none_for_others() {
+        let s = spec("run-1");
+        let d = |spare| Demand { spare, ..Demand::spare(&s, 3) };
+        let mut rooms = vec![Room::empty("m", &types()[0], "a", false)];
+        take_up(&[d(true)], &mut rooms);
+        assert_eq!(rooms[0].cores, 4.0);
+        take_up(&[d(false)], &mut rooms);
+        assert_eq!(rooms[0].cores, 1.0);
+    }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -133,6 +133,8 @@
 const TIE: f32 = 1e-3;
 /// A job that has an aim is taken first-fit only after this many times it.
 const AIMS_WAITED: f64 = 4.0;
+/// Gangs that wait hold no more than this part of the machines.
+const MOST_HELD: f64 = 0.25;
 /// Rounding allowed when amounts are summed and compared.
 const SLACK: f64 = 1e-6;
 
@@ -230,6 +232,7 @@
         for w in &mut jobs {
             if w.spec.form == Form::Ensemble {
                 gang(rooms, w, &reserved, &mut starts);
+                hold(rooms, w, &mut reserved);
             } else if w.waited_s >= rules.wait_limit(w) {
                 first_fit(rooms, w, &reserved, &mut starts);
             }
@@ -454,6 +457,24 @@
     }
 }
 
+/// Keeps what a gang found, in the zone where it found most, until the rest
+/// comes free or up: other tasks took it one by one, and the gang waited for
+/// several machines at the same moment. Only so many machines are held at a
+/// time, so that gangs do not idle a fleet.
+fn hold(rooms: &[Room], w: &Waiting, reserved: &mut BTreeSet<String>) {
+    if w.tasks.is_empty() {
+        return;
+    }
+    let most = ((rooms.len() as f64 * MOST_HELD) as usize).saturating_sub(reserved.len());
+    let mut by_site: BTreeMap<&str, Vec<&Room>> = BTreeMap::new();
+    for r in rooms.iter().filter(|r| able(r, w) > 0 && !reserved.contains(&r.machine)) {
+        let site = if w.spec.together { r.site.as_str() } else { "" };
+        by_site.entry(site).or_default().push(r);
+    }
+    let found = by_site.into_values().max_by_key(|found| found.len()).unwrap_or_default();
+    reserved.extend(found.iter().take(most.min(w.tasks.len())).map(|r| r.machine.clone()));
+}
+
 /// Keeps the emptiest machines that could ever hold the job's next task free.
 fn reserve(rooms: &[Room], w: &Waiting, reserved: &mut BTreeSet<String>) {
     let need = if w.spec.form == Form::Ensemble { w.tasks.len() } else { 1 };
@@ -658,4 +679,23 @@
         let yields = Room { arrays: Amounts { cores: 2.0, gpus: 0.0, mem_gb: 2.0 }, ..full };
         assert!(run(&mut [yields, room("m2", 8.0, "")], vec![wait()]).is_empty());
     }
+
+    /// Gangs of two waited 90 s while gangs of one started at once: the first
+    /// machine that came free was taken before there was a second.
+    #[test]
+    fn a_gang_holds_what_it_found() {
+        let mut gang = spec("run-1");
+        gang.form = Form::Ensemble;
+        gang.together = true;
+        gang.cores = 8.0;
+        let array = spec("run-2");
+        let mut rooms: Vec<Room> = ["m1", "m2", "m3", "m4"].map(|m| room(m, 2.0, "img")).into();
+        rooms[2] = room("m3", 8.0, "img");
+        let starts = run(&mut rooms, vec![waits(&gang, 2, 1.0, 1.0), waits(&array, 9, 1.0, 1.0)]);
+        assert_eq!(starts.iter().filter(|s| s.machine != "m3").count(), 6);
+        assert_eq!(starts.iter().filter(|s| s.machine == "m3").count(), 0);
+        // A small block is not idled by its gangs.
+        let starts = run(&mut [room("m3", 8.0, "img")], vec![waits(&gang, 2, 1.0, 1.0), waits(&array, 9, 1.0, 1.0)]);
+        assert_eq!(starts.len(), 8);
+    }
 }
