--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -4,6 +4,7 @@
 
 use super::work::{HOPE, end_op, queued};
 use super::*;
+use crate::bookkeeping::Job;
 use crate::coordination::blocks::{self, wanted_moves};
 use crate::fleet::{Demand, Offer, Rental, fits, take_up, wanted_rentals};
 use crate::placement::Room;
@@ -28,6 +29,9 @@
 /// Rentals whose machines would take the leader's writes of this part of a
 /// second, one by one, are recorded together.
 const PACK_FROM: f64 = 0.5;
+/// After machines were brought together for a gang, blocks are not levelled for
+/// so many report intervals.
+const GATHERED_REPORTS: f64 = 3.0;
 /// The fleet is looked at this often while the machine list grows old.
 const FLEET_LAG_SHARE: f64 = 0.1;
 
@@ -202,10 +206,19 @@
             };
             self.txn_keyed(txn, Why::Grant);
         }
+        let now = self.now;
         let limit = self.set.settings.state.txn_ops.min(self.writes.level(self.now) as usize).max(1);
         let deaf = self.deaf_machines();
         let level = self.now >= self.level_next;
-        let moves = wanted_moves(&self.view, &deaf, level, limit);
+        let mut moves = wanted_moves(&self.view, &deaf, level && now >= self.gather_next, limit);
+        if moves.is_empty() && level {
+            moves = self.gather_moves();
+            moves.truncate(limit);
+            if !moves.is_empty() {
+                // Levelling would take them apart before the gang has started.
+                self.gather_next = now + self.report_s(GATHERED_REPORTS);
+            }
+        }
         if moves.is_empty() || !self.may_write(moves.len() as f64) {
             return;
         }
@@ -234,6 +247,32 @@
         }
     }
 
+    /// For a gang that waits and fits in no block: machines of one zone are
+    /// brought together. One gang at a time.
+    fn gather_moves(&self) -> Vec<blocks::Move> {
+        // Until then machines that were rented for it may still come up together.
+        let boot = self.types.iter().map(|t| t.startup_s).fold(0.0, f64::max);
+        let waits = |uid: &String| {
+            let since = self.patience.get(uid).and_then(|p| p.waiting_since);
+            since.is_some_and(|t| self.now.saturating_sub(t) > self.secs(boot))
+        };
+        let whole = |j: &Job| j.spec.form == Form::Ensemble && j.spec.parcels > 1 && j.placed == 0;
+        let mut gangs: Vec<&Job> = self
+            .view
+            .jobs
+            .iter()
+            .filter(|(uid, j)| whole(j) && j.waiting_count() > 0 && waits(uid))
+            .map(|(_, j)| j)
+            .collect();
+        if gangs.is_empty() {
+            return Vec::new();
+        }
+        gangs.sort_by_key(|j| j.rec.rec.at_ms);
+        let rooms = self.rooms(true);
+        let found = gangs.into_iter().map(|j| blocks::gather(&self.view, &rooms, &j.spec));
+        found.into_iter().find(|moves| !moves.is_empty()).unwrap_or_default()
+    }
+
     /// Machines that reach another controller, but not their owner.
     fn deaf_machines(&mut self) -> Vec<(String, String)> {
         let (deaf, near) = (self.report_s(3.0), self.report_s(1.5));
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::bookkeeping::aims::Aims;
 use crate::bookkeeping::records::{self, Versioned};
-use crate::bookkeeping::{Amounts, View};
+use crate::bookkeeping::{Amounts, Images, View};
 use crate::coordination::machine::Machine;
 use crate::coordination::parts::Parts;
 use crate::coordination::session::Session;
@@ -220,6 +220,9 @@
     /// The state of the view's machine records that `machines` follows.
     adopted: Option<u64>,
     heard: HashMap<String, Instant>,
+    /// Images on machines of other blocks.
+    images: HashMap<String, Images>,
+    beats: usize,
     changes: BTreeMap<String, Change>,
     busy: BTreeSet<String>,
     /// Records of jobs whose write was refused as outdated: it would be again
@@ -256,6 +259,8 @@
     lead_next: Instant,
     relet_next: Instant,
     level_next: Instant,
+    /// Not before then are blocks levelled: machines were brought together.
+    gather_next: Instant,
     epoch: u64,
     charter: u64,
     list: BTreeMap<String, Listed>,
@@ -314,6 +319,8 @@
             machines: BTreeMap::new(),
             adopted: None,
             heard: HashMap::new(),
+            images: HashMap::new(),
+            beats: 0,
             changes: BTreeMap::new(),
             busy: BTreeSet::new(),
             outdated: BTreeMap::new(),
@@ -340,6 +347,7 @@
             lead_next: Duration::ZERO,
             relet_next: Duration::ZERO,
             level_next: Duration::ZERO,
+            gather_next: Duration::ZERO,
             epoch: 0,
             charter: 0,
             list: BTreeMap::new(),
@@ -373,6 +381,7 @@
                 }
             }
             Event::Peer { member, frame: Frame::Beat(beat) } => {
+                self.note_images(&beat);
                 let heard = beat.heard.into_iter().collect();
                 self.peers.insert(member, PeerView { stale_ms: beat.stale_ms, heard, at: now });
             }
@@ -462,18 +471,54 @@
         let keep = self.report_s(4.0);
         let now = self.now;
         self.heard.retain(|_, t| now.saturating_sub(*t) < keep);
+        let view = &self.view;
+        self.images.retain(|m, _| view.hosts.contains_key(m));
         let millis = |d: Duration| d.as_millis() as u64;
-        let beat = Beat {
+        let mut beat = Beat {
             incarnation: self.incarnation,
+            held: Vec::new(),
+            images: Vec::new(),
             stale_ms: self.ses.staleness(now).map_or(u64::MAX, millis),
             heard: self.heard.iter().map(|(m, t)| (m.clone(), millis(now.saturating_sub(*t)))).collect(),
         };
+        self.beats = self.beats.wrapping_add(1);
+        for (n, name) in self.view.hosts.keys().enumerate() {
+            if (n + self.beats) % BEATS_PER_ROUND == 0
+                && let Some(images) = self.held_images(name).filter(|i| !i.is_empty())
+            {
+                beat.note_images(name, images.iter());
+            }
+        }
         for other in &self.set.others {
             let frame = Frame::Beat(beat.clone());
             self.out.push(Action::Send { member: other.member.clone(), frame });
         }
     }
 
+    /// The images that a machine of any block is known to hold.
+    fn held_images(&self, machine: &str) -> Option<&Images> {
+        self.machines.get(machine).map(|m| &m.images).or_else(|| self.images.get(machine))
+    }
+
+    /// Takes in what another controller knows of images: of its machines, and
+    /// of ours from before we started.
+    fn note_images(&mut self, beat: &Beat) {
+        for (machine, images) in beat.images() {
+            if !self.view.hosts.contains_key(machine) {
+                continue;
+            }
+            let known = match self.machines.get_mut(machine) {
+                Some(m) => &mut m.images,
+                None => self.images.entry(machine.to_string()).or_default(),
+            };
+            for image in images {
+                if !known.contains(image) {
+                    std::rc::Rc::make_mut(known).insert(image.clone());
+                }
+            }
+        }
+    }
+
     fn secs(&self, s: f64) -> Duration {
         Duration::from_secs_f64(s.max(0.0))
     }
@@ -703,6 +748,8 @@
     }
 }
 
+/// So many beats tell of the images of all machines.
+const BEATS_PER_ROUND: usize = 4;
 /// Longer transactions count as this long in the summary.
 const LONGEST_TXN_MS: u64 = 60_000;
 /// Part of the store's writes that is used: renewals and repeats need some.
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -103,7 +103,9 @@
         }
         for name in lost {
             tracing::debug!(machine = %name, "machine left the block");
-            self.machines.remove(&name);
+            if let Some(m) = self.machines.remove(&name) {
+                self.images.insert(name, m.images);
+            }
         }
         let now = self.now;
         for (name, h) in &self.view.hosts {
@@ -115,9 +117,8 @@
                 Some(m) if (m.term, m.epoch) == (h.rec.term, h.rec.epoch) => m.grant = h.version,
                 _ => {
                     let mut m = Machine::new(h.version, h.rec.term, h.rec.epoch, now);
-                    if let Some(load) = self.view.loads.get(name) {
-                        m.images = load.images.clone();
-                    }
+                    let placed = self.view.loads.get(name).map(|l| &l.images);
+                    m.images = self.images.remove(name).or(placed.cloned()).unwrap_or_default();
                     self.machines.insert(name.clone(), m);
                 }
             }
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -315,6 +315,9 @@
                 room.mem_gb -= takes.mem_gb;
                 room.images[0] = load.images.clone();
             }
+            if !mine && let Some(images) = self.images.get(name) {
+                room.images[1] = images.clone();
+            }
             if let Some(m) = self.machines.get(name).filter(|_| mine) {
                 room.images[1] = m.images.clone();
                 if let Some(load) = self.view.loads.get(name) {
--- a/src/coordination/blocks.rs
+++ b/src/coordination/blocks.rs
@@ -99,6 +99,43 @@
     None
 }
 
+/// Moves that bring machines of one zone into one block, so that a gang fits
+/// there which no block has room for though all together do. The block with most
+/// of that room gets the rest.
+pub fn gather(view: &View, rooms: &[(String, Room)], spec: &JobSpec) -> Vec<Move> {
+    let mut zones: BTreeMap<&str, BTreeMap<&str, u32>> = BTreeMap::new();
+    for (member, room) in rooms.iter().filter(|(m, _)| view.members.contains_key(m)) {
+        let n = room.fits(spec).min(spec.parcels);
+        let site = if spec.together { room.site.as_str() } else { "" };
+        if n > 0 {
+            *zones.entry(site).or_default().entry(member).or_default() += n;
+        }
+    }
+    let most = |held: &BTreeMap<&str, u32>| held.values().copied().max().unwrap_or(0);
+    if zones.values().any(|held| most(held) >= spec.parcels) {
+        return Vec::new(); // a lease will do
+    }
+    let able = zones.iter().filter(|(_, held)| held.values().sum::<u32>() >= spec.parcels);
+    let Some((site, held)) = able.max_by_key(|(_, held)| most(held)) else { return Vec::new() };
+    let Some((to, has)) = held.iter().max_by_key(|(_, n)| **n) else { return Vec::new() };
+    let mut missing = spec.parcels.saturating_sub(*has);
+    let there = |r: &Room| (!spec.together || r.site == *site) && r.fits(spec) > 0;
+    let mut others: Vec<&Room> = rooms.iter().filter(|(m, r)| m != to && there(r)).map(|(_, r)| r).collect();
+    others.sort_by_key(|r| std::cmp::Reverse(r.fits(spec)));
+    let mut moves: Vec<Move> = Vec::new();
+    for room in others {
+        if missing == 0 {
+            break;
+        }
+        let Some(h) = view.hosts.get(&room.machine).filter(|h| view.owned(&h.rec)) else { continue };
+        if !moves.iter().any(|m| m.pack == h.rec.pack) {
+            moves.push(Move { pack: h.rec.pack.clone(), to: to.to_string() });
+        }
+        missing = missing.saturating_sub(room.fits(spec));
+    }
+    moves
+}
+
 /// How many tasks of the job each member's block has room for, in zones where
 /// the job may have them, given those it has in each; and those of them that
 /// find the image.
--- a/src/protocol/peer.rs
+++ b/src/protocol/peer.rs
@@ -22,6 +22,31 @@
     pub stale_ms: u64,
     /// Machines that reported to the sender of late, and how long ago.
     pub heard: Vec<(String, u64)>,
+    /// Images on some of the machines, as far as the sender knows; each beat
+    /// tells of others. Numbers stand for the names in `images`.
+    pub held: Vec<(String, Vec<u16>)>,
+    pub images: Vec<String>,
+}
+
+impl Beat {
+    /// Notes the images that a machine holds.
+    pub fn note_images<'a>(&mut self, machine: &str, images: impl Iterator<Item = &'a String>) {
+        let mut numbers = Vec::new();
+        for image in images {
+            let at = self.images.iter().position(|i| i == image).unwrap_or_else(|| {
+                self.images.push(image.clone());
+                self.images.len() - 1
+            });
+            numbers.extend(u16::try_from(at));
+        }
+        self.held.push((machine.to_string(), numbers));
+    }
+
+    /// Machines and the images that they hold.
+    pub fn images(&self) -> impl Iterator<Item = (&str, Vec<&String>)> {
+        let names = |n: &[u16]| n.iter().filter_map(|n| self.images.get(usize::from(*n))).collect();
+        self.held.iter().map(move |(machine, n)| (machine.as_str(), names(n)))
+    }
 }
 
 pub fn encode(frame: &Frame) -> Vec<u8> {
@@ -48,3 +73,21 @@
     buf.drain(..4 + len);
     Ok(Some(frame))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Numbers that stand for no name, from a spoilt or foreign sender, are passed over.
+    #[test]
+    fn images_come_through_by_number() {
+        let mut beat = Beat::default();
+        let images = ["a", "b", "c"].map(String::from);
+        beat.note_images("m1", images[..2].iter());
+        beat.note_images("m2", images[1..].iter());
+        beat.held[0].1.push(99);
+        let read: Vec<(&str, Vec<&String>)> = beat.images().collect();
+        assert_eq!(read, [("m1", images[..2].iter().collect()), ("m2", images[1..].iter().collect::<Vec<_>>())]);
+        assert_eq!(beat.images.len(), 3);
+    }
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -4,7 +4,7 @@
 mod world;
 
 use rand::RngExt;
-use world::{Size, World, array, s, service};
+use world::{Job, SMALL, Size, World, array, gang, s, service};
 
 fn done(w: &World, uid: &str) -> bool {
     w.jobs[uid].told_done
@@ -162,7 +162,7 @@
 /// malformed, again and again, and its tasks never started.
 #[test]
 fn a_job_wider_than_a_transaction_starts_in_parts() {
-    let mut w = World::sized(9, Size { controllers: 3, machines: 60, write_rps: 80.0, txn_ops: 4, team_max: 8.0 });
+    let mut w = World::sized(9, Size { txn_ops: 4, machines: 60, ..SMALL });
     let mut j = array(55, 3.0);
     j.cores = 8.0;
     w.submit("run-003", j);
@@ -187,7 +187,10 @@
 /// its workers had run out: the store's writes must not bound a restart.
 #[test]
 fn blocks_come_back_before_leases_run_out() {
-    let mut w = World::sized(11, Size { controllers: 7, machines: 60, write_rps: 12.0, txn_ops: 8, team_max: 8.0 });
+    let mut w = World::sized(
+        11,
+        Size { controllers: 7, machines: 60, write_rps: 12.0, txn_ops: 8, zones: &["a", "b"], ..SMALL },
+    );
     w.cloud.most = 60;
     for n in 0..10 {
         w.submit(&format!("run-{n}09"), service(30));
@@ -207,8 +210,7 @@
 fn rules_hold_under_random_failures() {
     for seed in 0..12 {
         let team_max = if seed % 2 == 0 { 8.0 } else { 24.0 };
-        let mut w =
-            World::sized(1000 + seed, Size { controllers: 3, machines: 5, write_rps: 80.0, txn_ops: 32, team_max });
+        let mut w = World::sized(1000 + seed, Size { machines: 5, team_max, ..SMALL });
         w.cloud.most = 7;
         random_failures(w, 14, 9, 200.0);
     }
@@ -220,13 +222,77 @@
     for seed in 0..3 {
         // From a limit that always binds to one that is shared out by parts.
         let team_max = [20.0, 60.0, 120.0][seed as usize];
-        let size = Size { controllers: 7, machines: 100, write_rps: 12.0, txn_ops: 8, team_max };
+        let size =
+            Size { controllers: 7, machines: 100, write_rps: 12.0, txn_ops: 8, team_max, zones: &["a", "b"], ..SMALL };
         let mut w = World::sized(2000 + seed, size);
         w.cloud.most = 110;
         random_failures(w, 60, 16, 400.0);
     }
 }
 
+/// Gangs in four zones, of which the images come at different times to each
+/// machine, with GPUs that bind, services apart, and failures.
+#[test]
+fn gangs_and_zones_hold_under_random_failures() {
+    for seed in 0..10 {
+        let size =
+            Size { controllers: 5, machines: 16, zones: &["a", "b", "c", "d"], fetch_s: 10.0, team_max: 24.0, ..SMALL };
+        let mut w = World::sized(3000 + seed, size);
+        w.cloud.most = 20;
+        for n in 0..8 {
+            let at = w.rng.random_range(0.0..60.0);
+            let uid = format!("run-7{n}{}", n % 5);
+            w.later(at, move |w| w.submit(&uid, gang(1 + n % 4)));
+        }
+        let apart = Job { apart: true, gpus: 1.0, ..service(4) };
+        w.later(3.0, move |w| w.submit("run-809", apart));
+        random_failures(w, 10, 9, 300.0);
+    }
+}
+
+/// The first report of a gang says `done`, and the machine with its other task
+/// is lost before its own does: the gang is over all the same.
+#[test]
+fn a_gang_is_done_with_its_first_task() {
+    for seed in 0..8 {
+        let mut w = World::new(300 + seed, 4);
+        let mut j = gang(2);
+        j.cores = 8.0;
+        w.submit("run-004", j);
+        w.run_until(11.0);
+        let on: Vec<String> = w
+            .workers
+            .values()
+            .filter(|x| x.tasks.values().any(|t| t.job == "run-004"))
+            .map(|x| x.name.clone())
+            .collect();
+        assert_eq!(on.len(), 2, "seed {seed}");
+        // Both run and complete; one is cut off for good just before.
+        w.run_until(15.0);
+        let lost = on[seed as usize % 2].clone();
+        w.cut_worker(&lost, true);
+        w.run_until(60.0);
+        assert!(done(&w, "run-004"), "seed {seed}");
+    }
+}
+
+/// A gang's machines get their images at different times, longer apart than its
+/// tasks wait: they wait on, instead of starting anew for ever.
+#[test]
+fn a_gang_waits_for_its_slowest_image() {
+    let mut w = World::new(400, 2);
+    let fetch = [1.0, 20.0];
+    for (x, f) in w.workers.values_mut().zip(fetch) {
+        x.fetch_s = f;
+    }
+    w.cloud.most = 2;
+    let mut j = gang(2);
+    j.cores = 8.0;
+    w.submit("run-002", j);
+    w.run_until(45.0);
+    assert!(done(&w, "run-002"));
+}
+
 fn random_failures(mut w: World, jobs: usize, failures: usize, end_s: f64) {
     let (nodes, machines) = (w.nodes.len(), w.workers.len());
     for n in 0..jobs {
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -22,6 +22,7 @@
     answers: BTreeMap<String, Vec<u8>>,
     /// No more than this many machines at a time.
     pub most: usize,
+    pub sites: Vec<&'static str>,
 }
 
 const BOOT_S: f64 = 10.0;
@@ -53,8 +54,8 @@
         }
         match (method, path.split('?').next().unwrap()) {
             ("GET", "/catalog") => {
-                let t = cbor!({"label" => "std", "cores" => 8, "gpus" => 0, "mem_gb" => 32, "local_gb" => 60,
-                    "pull_gb_per_s" => 1.0, "hourly" => 0.4, "spot_price" => 0.1, "startup_s" => BOOT_S, "sites" => ["a"]});
+                let t = cbor!({"label" => "std", "cores" => 8, "gpus" => 4, "mem_gb" => 32, "local_gb" => 60,
+                    "pull_gb_per_s" => 1.0, "hourly" => 0.4, "spot_price" => 0.1, "startup_s" => BOOT_S, "sites" => self.sites.clone()});
                 (200, bytes(&cbor!({"builds" => [t.unwrap()]}).unwrap()))
             }
             ("POST", "/hosts") => {
@@ -68,7 +69,7 @@
                 if n == 0 {
                     return (503, bytes(&cbor!({"error" => "no capacity"}).unwrap()));
                 }
-                let names: Vec<String> = (0..n).map(|_| self.create(now, "std", "a", spot)).collect();
+                let names: Vec<String> = (0..n).map(|_| self.create(now, "std", &text(body, "site"), spot)).collect();
                 let a = bytes(&cbor!({"perches" => names}).unwrap());
                 self.answers.insert(charter, a.clone());
                 (200, a)
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -22,6 +22,8 @@
 pub const REPORT_S: f64 = 2.0;
 pub const LEASE_S: f64 = 18.0;
 pub const CANCEL_S: f64 = 48.0;
+pub const GANG_WAIT_S: f64 = 6.0;
+pub const GANG_PEER_S: f64 = 4.0;
 
 pub fn bytes(v: &Value) -> Vec<u8> {
     let mut out = Vec::new();
@@ -49,6 +51,10 @@
 #[derive(Debug, Clone, Default)]
 pub struct Job {
     pub standing: bool,
+    pub gang: bool,
+    pub together: bool,
+    pub apart: bool,
+    pub gpus: f64,
     pub tasks: u32,
     pub cores: f64,
     pub run_s: f64,
@@ -136,7 +142,7 @@
     );
     t += "[[settings.objectives]]\nkind = \"wait\"\nclass = \"web\"\nwithin_s = 6.0\nshare = 0.9\n";
     t += &format!(
-        "[settings.workers]\nreport_s = {REPORT_S}\nlease_s = {LEASE_S}\ngang_wait_s = 40.0\ngang_peer_s = 4.0\ncancel_s = {CANCEL_S}\n"
+        "[settings.workers]\nreport_s = {REPORT_S}\nlease_s = {LEASE_S}\ngang_wait_s = {GANG_WAIT_S:.1}\ngang_peer_s = {GANG_PEER_S:.1}\ncancel_s = {CANCEL_S}\n"
     );
     t += &format!(
         "[settings.state]\nrps = 200.0\nwrite_rps = {:.1}\nvalue_kb = 8.0\ntxn_ops = {}\n",
@@ -147,6 +153,10 @@
     Settings::parse(&t, Path::new("world")).unwrap()
 }
 
+/// What most worlds have.
+pub const SMALL: Size =
+    Size { controllers: 3, machines: 4, write_rps: 80.0, txn_ops: 32, team_max: 8.0, zones: &["a"], fetch_s: 0.5 };
+
 /// How large a world is, and what the store allows.
 #[derive(Debug, Clone, Copy)]
 pub struct Size {
@@ -156,12 +166,15 @@
     pub txn_ops: usize,
     /// CPUs that the team `capped` may use.
     pub team_max: f64,
+    pub zones: &'static [&'static str],
+    /// Images take up to this long, differently on each machine.
+    pub fetch_s: f64,
 }
 
 impl World {
     /// Three controllers and `machines` machines that are up.
     pub fn new(seed: u64, machines: u32) -> World {
-        World::sized(seed, Size { controllers: 3, machines, write_rps: 80.0, txn_ops: 32, team_max: 8.0 })
+        World::sized(seed, Size { controllers: 3, machines, write_rps: 80.0, txn_ops: 32, team_max: 8.0, ..SMALL })
     }
 
     pub fn sized(seed: u64, size: Size) -> World {
@@ -186,9 +199,10 @@
             w.nodes.push(Node { logic: None, life: 0, refused: false, deaf: false });
             w.boot(i);
         }
+        w.cloud.sites = size.zones.to_vec();
         w.at(0.0, Ev::Nature);
         for i in 0..size.machines {
-            let site = if size.controllers > 3 && i % 2 == 1 { "b" } else { "a" };
+            let site = size.zones[i as usize % size.zones.len()];
             let name = w.cloud.create(Duration::ZERO, "std", site, false);
             w.add_worker(&name);
         }
@@ -230,7 +244,8 @@
         let m = &self.cloud.machines[name];
         let nodes = self.nodes.len();
         let first = self.rng.random_range(0..nodes);
-        let w = Worker::new(name, &m.site, m.spot, first, nodes, self.now);
+        let mut w = Worker::new(name, &m.site, m.spot, first, nodes, self.now);
+        w.fetch_s = self.rng.random_range(0.5..=self.size.fetch_s);
         self.workers.insert(name.to_string(), w);
     }
 
@@ -343,9 +358,37 @@
         for name in names {
             self.work(&name);
         }
+        self.gangs();
         self.check();
     }
 
+    /// Gangs start once complete, and notice when they are not any more.
+    fn gangs(&mut self) {
+        let now = self.now;
+        for (uid, j) in self.jobs.iter().filter(|(_, j)| j.gang && j.submitted) {
+            let mut attempts: BTreeMap<u64, (u32, u32)> = BTreeMap::new();
+            for w in self.workers.values_mut() {
+                if !w.gangs.contains(uid) {
+                    w.gangs.insert(uid.clone());
+                }
+                for ((_, attempt), t) in w.tasks.iter().filter(|(_, t)| t.job == *uid) {
+                    let n = attempts.entry(*attempt).or_default();
+                    n.0 += u32::from(t.state == TaskState::Gathering);
+                    n.1 += u32::from(t.state == TaskState::Running);
+                }
+            }
+            for (attempt, (gathering, runs)) in attempts {
+                for w in self.workers.values_mut() {
+                    if gathering == j.tasks {
+                        w.gang_starts(uid, attempt, now);
+                    } else if runs > 0 && runs < j.tasks && j.done.is_empty() {
+                        w.gang_misses(uid, attempt, now);
+                    }
+                }
+            }
+        }
+    }
+
     fn work(&mut self, name: &str) {
         let now = self.now;
         let w = self.workers.get_mut(name).unwrap();
@@ -463,7 +506,18 @@
                 let there = w.tasks.values().any(|t| t.job == job && t.index == index && t.state != TaskState::Exited);
                 assert!(other == name || !there, "seed {}: {job}/{index} starts on {name} while on {other}", self.seed);
             }
-            assert!(self.jobs.contains_key(&job), "seed {}: {job} starts and was never submitted", self.seed);
+            let Some(j) = self.jobs.get(&job) else {
+                panic!("seed {}: {job} starts and was never submitted", self.seed);
+            };
+            let site = &self.workers[name].site;
+            let mut here = 0;
+            for w in self.workers.values() {
+                let n = w.tasks.values().filter(|t| t.job == job && t.state != TaskState::Exited).count() as u32;
+                let there = w.site != *site && n > 0;
+                assert!(!j.together || !there, "seed {}: {job}/{index} starts in another zone", self.seed);
+                here += if w.site == *site { n } else { 0 };
+            }
+            assert!(!j.apart || here <= j.tasks.div_ceil(2), "seed {}: {job}/{index} starts in a full zone", self.seed);
         }
     }
 
@@ -471,10 +525,11 @@
     fn check(&self) {
         let mut used = 0.0;
         for (name, w) in &self.workers {
-            let mut cores = 0.0;
+            let (mut cores, mut gpus) = (0.0, 0.0);
             for t in w.tasks.values().filter(|t| t.state != TaskState::Exited) {
                 let j = &self.jobs[&t.job];
                 cores += j.cores;
+                gpus += j.gpus;
                 if j.team == "capped" {
                     used += j.cores;
                 }
@@ -483,7 +538,7 @@
                     assert!(!late, "seed {}: {}/{} runs long after its withdrawal", self.seed, t.job, t.index);
                 }
             }
-            assert!(cores <= 8.0, "seed {}: {name} is overfull", self.seed);
+            assert!(cores <= 8.0 && gpus <= 4.0, "seed {}: {name} is overfull", self.seed);
         }
         let max = self.size.team_max;
         assert!(used <= max + 1e-9, "seed {}: the team uses {used} of {max}", self.seed);
@@ -551,17 +606,25 @@
     Job { tasks, cores: 2.0, run_s, team: "free".into(), ..Job::default() }
 }
 
+/// A gang whose tasks take half a machine each, in one zone.
+pub fn gang(tasks: u32) -> Job {
+    Job { tasks, cores: 4.0, gpus: 2.0, gang: true, together: true, team: "free".into(), ..Job::default() }
+}
+
 pub fn service(tasks: u32) -> Job {
     Job { tasks, cores: 1.0, run_s: 1e9, standing: true, team: "free".into(), ..Job::default() }
 }
 
 fn spec(uid: &str, j: &Job) -> Value {
-    let (form, urgency, docket) =
-        if j.standing { ("standing", "urgent", "web") } else { ("batch", "standard", "calc") };
+    let (form, urgency, docket) = match () {
+        _ if j.standing => ("standing", "urgent", "web"),
+        _ if j.gang => ("ensemble", "standard", "train"),
+        _ => ("batch", "standard", "calc"),
+    };
     cbor!({
         "uid" => uid, "docket" => docket, "desk" => j.team.clone(), "form" => form, "urgency" => urgency,
-        "parcels" => j.tasks, "cores" => j.cores, "gpus" => 0.0, "mem_gb" => 1.0, "bundle" => "img-1",
-        "size_gb" => 0.5, "builds" => null, "site" => null, "together" => false, "apart" => false,
+        "parcels" => j.tasks, "cores" => j.cores, "gpus" => j.gpus, "mem_gb" => 1.0, "bundle" => "img-1",
+        "size_gb" => 0.5, "builds" => null, "site" => null, "together" => j.together, "apart" => j.apart,
         "loaners" => true, "expected_s" => j.run_s.min(100.0), "stamp_every_s" => 0.0, "stamp_s" => 0.0, "due_s" => null
     })
     .unwrap()
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -1,6 +1,6 @@
 //! Stand-in for a worker: reports, tokens, leases and tasks as PROTOCOL has them.
 
-use super::{LEASE_S, bytes, get, number, s, text};
+use super::{GANG_PEER_S, GANG_WAIT_S, LEASE_S, bytes, get, number, s, text};
 use ciborium::{Value, cbor};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -8,6 +8,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TaskState {
     Fetching,
+    Gathering,
     Running,
     Exited,
 }
@@ -19,12 +20,14 @@
     pub state: TaskState,
     cause: &'static str,
     turn: Duration,
+    /// Since when a running gang misses one of its tasks.
+    misses_since: Option<Duration>,
 }
 
 pub struct Worker {
     pub name: String,
     pub addr: String,
-    site: String,
+    pub site: String,
     spot: bool,
     pub node: usize,
     nodes: usize,
@@ -42,6 +45,10 @@
     /// Every task fails here.
     pub sick: bool,
     pub runs: BTreeMap<String, f64>,
+    /// Gangs that the users submitted: tasks of these wait for each other.
+    pub gangs: BTreeSet<String>,
+    /// Seconds that each image takes here, for the next tasks.
+    pub fetch_s: f64,
 }
 
 impl Worker {
@@ -66,6 +73,8 @@
             held: Vec::new(),
             sick: false,
             runs: BTreeMap::new(),
+            gangs: BTreeSet::new(),
+            fetch_s: 0.5,
         }
     }
 
@@ -80,6 +89,12 @@
         let mut done = Vec::new();
         for t in self.tasks.values_mut().filter(|t| t.turn <= now) {
             match t.state {
+                TaskState::Gathering => (t.state, t.cause) = (TaskState::Exited, "alone"),
+                TaskState::Fetching if self.gangs.contains(&t.job) && !self.sick => {
+                    (t.state, t.turn) = (TaskState::Gathering, now + s(GANG_WAIT_S));
+                    self.next_report = self.next_report.min(now + s(0.5));
+                    continue;
+                }
                 TaskState::Fetching if self.sick => (t.state, t.cause) = (TaskState::Exited, "error"),
                 TaskState::Fetching => {
                     let name = format!("{}/{}", t.job, t.index);
@@ -103,6 +118,31 @@
         done
     }
 
+    /// The gang is complete: its task runs from now on.
+    pub fn gang_starts(&mut self, job: &str, attempt: u64, now: Duration) {
+        for ((_, a), t) in &mut self.tasks {
+            if t.job == job && *a == attempt && t.state == TaskState::Gathering {
+                (t.state, t.turn, t.misses_since) = (TaskState::Running, now + s(run_s(job)), None);
+                self.next_report = self.next_report.min(now + s(0.5));
+            }
+        }
+    }
+
+    /// One of the gang's tasks is gone: the others notice after a while.
+    pub fn gang_misses(&mut self, job: &str, attempt: u64, now: Duration) {
+        for ((_, a), t) in &mut self.tasks {
+            if t.job == job && *a == attempt && t.state == TaskState::Running {
+                let since = *t.misses_since.get_or_insert(now);
+                if now > since + s(GANG_PEER_S) {
+                    (t.state, t.cause) = (TaskState::Exited, "peers");
+                    self.next_report = self.next_report.min(now + s(0.5));
+                } else {
+                    t.turn = t.turn.max(now + s(0.1)); // no progress meanwhile
+                }
+            }
+        }
+    }
+
     fn report(&mut self) -> Vec<u8> {
         self.tally += 1;
         let tasks: Vec<Value> = self
@@ -111,6 +151,7 @@
             .map(|((parcel, attempt), t)| {
                 let status = match t.state {
                     TaskState::Fetching => "fetching",
+                    TaskState::Gathering => "gathering",
                     TaskState::Running => "running",
                     TaskState::Exited => "exited",
                 };
@@ -184,7 +225,10 @@
                     let state = if other { TaskState::Exited } else { TaskState::Fetching };
                     let index = index.parse().unwrap();
                     let cause = if other { "in_use" } else { "" };
-                    self.tasks.insert(key, Task { job: job.into(), index, state, cause, turn: now + s(0.5) });
+                    self.tasks.insert(
+                        key,
+                        Task { job: job.into(), index, state, cause, turn: now + s(self.fetch_s), misses_since: None },
+                    );
                     if !other {
                         started.push((job.to_string(), index));
                     }
