--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -489,7 +489,9 @@
             spot.then(a.free_cores().total_cmp(&b.free_cores())).then_with(|| a.machine.cmp(&b.machine))
         });
         let op = &self.set.operator;
-        let rules = Rules { window: op.window, step_gb: op.step_mb / 1024.0, wait_limit_s: op.wait_limit_s };
+        let gangs = self.view.jobs.values().filter(|j| j.spec.form == Form::Ensemble && !j.spec.loaners);
+        let keep = gangs.map(Job::waiting_count).sum::<u32>() as usize;
+        let rules = Rules { window: op.window, step_gb: op.step_mb / 1024.0, wait_limit_s: op.wait_limit_s, keep };
         plan(&mut rooms, &mut waiting, &rules, &mut self.sack)
     }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -196,6 +196,9 @@
     pub window: usize,
     pub step_gb: f64,
     pub wait_limit_s: f64,
+    /// So many empty ordinary machines are kept from jobs that may use spot
+    /// ones: gangs that may not wait somewhere.
+    pub keep: usize,
 }
 
 /// One task to start.
@@ -240,6 +243,7 @@
                 reserve(rooms, w, &mut reserved);
             }
         }
+        let kept = keep(rooms, rules.keep);
         // Among equals the job with the least work left goes first: that way
         // most jobs meet their aim when there is not room for all.
         jobs.sort_by(|a, b| a.work.total_cmp(&b.work));
@@ -248,7 +252,8 @@
         for tier in [false, true].into_iter().flat_map(|late| PASSES.map(|p| (late, p))) {
             for room in rooms.iter_mut() {
                 if room.cores + SLACK >= least && !reserved.contains(&room.machine) {
-                    fill(room, &mut jobs, tier, rules, sack, &mut starts);
+                    let kept = kept.contains(&room.machine);
+                    fill(room, kept, &mut jobs, tier, rules, sack, &mut starts);
                 }
             }
         }
@@ -299,6 +304,7 @@
 /// The knapsack over one machine's free memory.
 fn fill(
     room: &mut Room,
+    kept: bool,
     jobs: &mut [&mut Waiting],
     tier: (bool, Pass),
     rules: &Rules,
@@ -311,7 +317,7 @@
     let mut image: Option<&str> = None;
     for (id, w) in jobs.iter().enumerate() {
         let (late, pass) = tier;
-        if w.spec.form == Form::Ensemble || w.tasks.is_empty() || w.late() != late {
+        if w.spec.form == Form::Ensemble || w.tasks.is_empty() || w.late() != late || (kept && w.spec.loaners) {
             continue;
         }
         let lost = || w.hopeless || w.start_within_s.is_none_or(|s| w.waited_s > s);
@@ -475,6 +481,12 @@
     reserved.extend(found.iter().take(most.min(w.tasks.len())).map(|r| r.machine.clone()));
 }
 
+/// Empty ordinary machines, so many at most.
+fn keep(rooms: &[Room], most: usize) -> BTreeSet<String> {
+    let empty = rooms.iter().filter(|r| !r.spot && r.free_share() > 1.0 - SLACK);
+    empty.take(most).map(|r| r.machine.clone()).collect()
+}
+
 /// Keeps the emptiest machines that could ever hold the job's next task free.
 fn reserve(rooms: &[Room], w: &Waiting, reserved: &mut BTreeSet<String>) {
     let need = if w.spec.form == Form::Ensemble { w.tasks.len() } else { 1 };
@@ -526,7 +538,7 @@
     }
 
     fn run(rooms: &mut [Room], mut waiting: Vec<Waiting>) -> Vec<Start> {
-        let rules = Rules { window: 500, step_gb: 0.25, wait_limit_s: 30.0 };
+        let rules = Rules { window: 500, step_gb: 0.25, wait_limit_s: 30.0, keep: 0 };
         plan(rooms, &mut waiting, &rules, &mut Knapsack::default())
     }
 
@@ -698,4 +710,20 @@
         let starts = run(&mut [room("m3", 8.0, "img")], vec![waits(&gang, 2, 1.0, 1.0), waits(&array, 9, 1.0, 1.0)]);
         assert_eq!(starts.len(), 8);
     }
+
+    /// Ordinary machines that came up for gangs were taken by arrays, which may
+    /// use spot ones, in blocks where no gang waited yet; more were rented.
+    #[test]
+    fn machines_are_kept_for_gangs_that_wait_elsewhere() {
+        let (array, mut ordinary) = (spec("run-1"), spec("run-2"));
+        ordinary.loaners = false;
+        let mut rooms = [room("m1", 8.0, "img"), room("m2", 8.0, "img"), room("m3", 7.0, "img")];
+        rooms[1].spot = true;
+        let rules = Rules { window: 500, step_gb: 0.25, wait_limit_s: 30.0, keep: 1 };
+        let mut waiting = vec![waits(&array, 30, 1.0, 1.0), waits(&ordinary, 1, 1.0, 2.0)];
+        let starts = plan(&mut rooms, &mut waiting, &rules, &mut Knapsack::default());
+        let on = |m: &str| starts.iter().filter(|s| s.machine == m && s.uid == "run-1").count();
+        assert_eq!((on("m1"), on("m2"), on("m3")), (0, 8, 7));
+        assert!(starts.iter().any(|s| s.uid == "run-2" && s.machine == "m1"));
+    }
 }
