Machines under notice are left in order; after a missed aim of an array comes the next

- Services move off a machine that the cloud will take while another holds their image; tasks that can save are stopped with the time to; a gang's tasks are all told at once, or none.
Preempted tasks that can save get the time as well.
- Arrays that missed the first of two aims counted as lost and waited behind all others.
Tests: machines_under_notice_are_left_in_order (fails without the move and with one task told only), a_task_that_can_save_gets_the_time_to, after_one_aim_comes_the_next.

--- a/src/bookkeeping/aims.rs
+++ b/src/bookkeeping/aims.rs
@@ -39,6 +39,17 @@
         [finished, due].into_iter().flatten().reduce(f64::min)
     }
 
+    /// The first such time that a job of this age can still meet if it needs so
+    /// much longer; the last one where it is too late for all: one missed aim
+    /// is no reason to miss the next.
+    pub fn end_from(&self, spec: &JobSpec, age_s: f64, needs_s: f64) -> Option<f64> {
+        let first = self.end_within(spec)?;
+        let later = self.of("finished", &spec.docket).filter_map(|o| o.within_s).filter(|a| *a > first);
+        let mut all: Vec<f64> = later.chain([first]).collect();
+        all.sort_by(f64::total_cmp);
+        all.iter().find(|a| **a - age_s >= needs_s).or(all.last()).copied()
+    }
+
     /// Notes a job that is done, this long after its submission.
     pub fn note_end(&mut self, spec: &JobSpec, took_s: f64) {
         for (o, met) in self.list.iter().zip(&mut self.met) {
@@ -89,4 +100,22 @@
         }
         assert!(!aims.behind());
     }
+
+    /// Arrays that missed the first of two aims counted as lost, and waited
+    /// behind all others until they had missed the second.
+    #[test]
+    fn after_one_aim_comes_the_next() {
+        let o = |within_s| Objective {
+            kind: "finished".into(),
+            class: Some("c".into()),
+            within_s: Some(within_s),
+            share: Some(0.8),
+            times: None,
+        };
+        let aims = Aims::new(vec![o(40.0), o(20.0)]);
+        let spec = crate::protocol::user::tests::spec("run-1");
+        let from = |age_s| aims.end_from(&spec, age_s, 7.0);
+        assert_eq!((from(0.0), from(14.0), from(50.0)), (Some(20.0), Some(40.0), Some(40.0)));
+        assert_eq!(Aims::new(Vec::new()).end_from(&spec, 0.0, 7.0), None);
+    }
 }
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -642,7 +642,7 @@
             // the same: it makes do with less, unless aims are missed and
             // machines are cheap beside what stands there.
             let age_s = self.wall_ms().saturating_sub(j.rec.rec.at_ms) as f64 / 1000.0;
-            let aim_s = self.aims.end_within(&j.spec);
+            let aim_s = self.aims.end_from(&j.spec, age_s, boot + j.spec.expected_s * HOPE);
             let lost = aim_s.is_some_and(|a| a - age_s < boot + j.spec.expected_s * HOPE);
             let lost = lost && !all_saved;
             if lost {
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -3,7 +3,9 @@
 
 use super::*;
 use crate::bookkeeping::Placements;
+use crate::bookkeeping::records::Place;
 use crate::fleet::given_up_after_s;
+use crate::placement::{Room, zone_room};
 use crate::protocol::cloud::{RELEASE, RELEASE_LIMIT, Release};
 use crate::protocol::encode;
 use crate::protocol::user::Form;
@@ -133,7 +135,7 @@
         let m = self.machines.get(name);
         wanted.retain(|(job, index), attempt| {
             let key = (job.clone(), *index, *attempt);
-            live(job) && m.is_none_or(|m| !m.preempted.contains(&key) && !m.gone.contains(&key))
+            live(job) && m.is_none_or(|m| !m.preempted.contains_key(&key) && !m.gone.contains(&key))
         });
         (wanted, kept)
     }
@@ -199,7 +201,7 @@
         }
         let there = |k: &(String, u32, u64)| kept.get(&(k.0.clone(), k.1)) == Some(&k.2);
         m.since.retain(|k, _| there(k));
-        m.preempted.retain(there);
+        m.preempted.retain(|k, _| there(k) && self.view.jobs.get(&k.0).is_some_and(|j| !j.withdrawn()));
         m.gone.retain(there);
         if m.confirmed() {
             for ((job, index), attempt) in &kept {
@@ -280,10 +282,76 @@
         if !self.fresh() {
             return;
         }
+        self.drain_recalled();
         self.release_silent();
         self.clear_empty();
     }
 
+    /// Machines that the cloud will take away: services move while they can
+    /// start elsewhere at once, what can save does so, and the rest runs on in
+    /// the hope of an end before that.
+    fn drain_recalled(&mut self) {
+        let mut stops: Vec<(String, (String, u32, u64), f64)> = Vec::new();
+        let mut rooms: Option<Vec<Room>> = None;
+        let recent = self.report_s(1.5);
+        for (name, m) in &self.machines {
+            let Some(left_s) = m.recall_s else { continue };
+            for ((uid, index), attempt) in self.view.placed.get(name).into_iter().flatten() {
+                let key = (uid.clone(), *index, *attempt);
+                let Some(j) = self.view.jobs.get(uid).filter(|j| !j.withdrawn()) else { continue };
+                if m.preempted.contains_key(&key) || m.is_over(&key) {
+                    continue;
+                }
+                match (j.spec.form, j.spec.saves_in()) {
+                    (Form::Standing, _) => {
+                        let rooms = rooms.get_or_insert_with(|| self.rooms(false).into_iter().map(|r| r.1).collect());
+                        let site = self.view.hosts.get(name).map(|h| h.rec.site.as_str());
+                        let mut zones = self.view.zones_of(j);
+                        if let Some(n) = site.and_then(|s| zones.get_mut(s)) {
+                            *n -= 1;
+                        }
+                        let takes = |r: &&mut Room| {
+                            let free = zone_room(&j.spec, j.spec.parcels, &zones, &r.site) > 0;
+                            free && r.fits(&j.spec) > 0 && r.image_s(&j.spec) <= 0.0
+                        };
+                        if let Some(room) = rooms.iter_mut().find(takes) {
+                            room.take(&j.spec, 1);
+                            stops.push((name.clone(), key, 0.0));
+                        }
+                    }
+                    (Form::Batch, Some(save_s)) if left_s >= save_s => stops.push((name.clone(), key, save_s)),
+                    (Form::Ensemble, Some(save_s)) if left_s >= save_s => {
+                        // All are told at once, or the save fails.
+                        let places = || j.chunks.values().flat_map(|c| &c.rec.on);
+                        let ready = |p: &Place| {
+                            self.machines.get(&p.machine).is_some_and(|m| {
+                                let seen = m.find(uid, p.index, p.attempt);
+                                m.confirmed()
+                                    && m.heard_at.is_some_and(|t| self.now.saturating_sub(t) < recent)
+                                    && seen.is_some_and(|s| s.state == TaskState::Running)
+                            })
+                        };
+                        if places().all(ready) {
+                            let each = |p: &Place| (p.machine.clone(), (uid.clone(), p.index, p.attempt), save_s);
+                            stops.extend(places().map(each));
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let machines: BTreeSet<String> = stops.iter().map(|s| s.0.clone()).collect();
+        for (machine, key, save_s) in stops {
+            tracing::debug!(job = %key.0, index = key.1, %machine, save_s, "moved on notice");
+            if let Some(m) = self.machines.get_mut(&machine) {
+                m.preempted.insert(key, save_s);
+            }
+        }
+        for m in machines {
+            self.push(&m);
+        }
+    }
+
     /// A machine that does not report is released: that alone proves at once
     /// that its tasks are gone. Guards against returning a healthy fleet when
     /// it is we who are cut off: nobody else hears the machine either, we hear
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -136,6 +136,10 @@
         if over(spec.cores, team.cpus_max) || over(spec.gpus, team.gpus_max) {
             return true;
         }
+        // All in one zone, and no more than half of them in any.
+        if spec.together && spec.apart && spec.parcels > 1 {
+            return true;
+        }
         !self.types.iter().any(|t| {
             spec.builds.as_ref().is_none_or(|b| b.contains(&t.label))
                 && spec.site.as_ref().is_none_or(|s| t.sites.contains(s))
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -453,7 +453,7 @@
             let zones = self.view.zones_of(job);
             let waited_s = now.saturating_sub(since).as_secs_f64();
             let age_s = self.wall_ms().saturating_sub(job.rec.rec.at_ms) as f64 / 1000.0;
-            let aim_s = self.aims.end_within(&job.spec);
+            let aim_s = self.aims.end_from(&job.spec, age_s, job.spec.expected_s * HOPE);
             let slack_s = aim_s.map_or(f64::INFINITY, |a| a - age_s - job.spec.expected_s * HOPE);
             let left = f64::from(job.spec.parcels - job.done);
             let work = left * job.spec.cores * job.spec.expected_s;
@@ -549,7 +549,7 @@
                 let key = (uid.clone(), *index, *attempt);
                 if m.is_over(&key) {
                     continue;
-                } else if m.preempted.contains(&key) {
+                } else if m.preempted.contains_key(&key) {
                     room.put_back(&j.spec);
                 } else if j.spec.form == Form::Batch && !j.withdrawn() {
                     let ran = m.since.get(&key).map_or(0.0, |t| now.saturating_sub(*t).as_secs_f64());
@@ -608,7 +608,8 @@
         let machines: BTreeSet<String> = stops.iter().map(|s| s.0.clone()).collect();
         for (machine, key) in stops {
             if let Some(m) = self.machines.get_mut(&machine) {
-                m.preempted.insert(key);
+                let save_s = self.view.jobs.get(&key.0).and_then(|j| j.spec.saves_in()).unwrap_or(0.0);
+                m.preempted.insert(key, save_s);
             }
         }
         for m in machines {
@@ -646,7 +647,8 @@
     /// Whether the job can still meet its aim, if its tasks started now.
     pub(super) fn can_be_saved(&self, job: &Job) -> bool {
         let age_s = self.wall_ms().saturating_sub(job.rec.rec.at_ms) as f64 / 1000.0;
-        self.aims.end_within(&job.spec).is_none_or(|a| a - age_s >= job.spec.expected_s * HOPE)
+        let needs_s = job.spec.expected_s * HOPE;
+        self.aims.end_from(&job.spec, age_s, needs_s).is_none_or(|a| a - age_s >= needs_s)
     }
 
     /// Cores that waiting tasks leased to each member ask for, of services
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -59,8 +59,9 @@
     pub releasing: bool,
     /// When each task was first seen to run.
     pub since: BTreeMap<(String, u32, u64), Instant>,
-    /// Tasks that are stopped to make room for more urgent ones.
-    pub preempted: BTreeSet<(String, u32, u64)>,
+    /// Tasks that are stopped to make room for more urgent ones, or because the
+    /// machine will be taken away, and the time they get to save.
+    pub preempted: BTreeMap<(String, u32, u64), f64>,
     /// Attempts that were proved gone. They are never ordered again, though
     /// their places may stay in the store until the write gets through.
     pub gone: BTreeSet<(String, u32, u64)>,
@@ -93,7 +94,7 @@
             fetches: BTreeMap::new(),
             releasing: false,
             since: BTreeMap::new(),
-            preempted: BTreeSet::new(),
+            preempted: BTreeMap::new(),
             gone: BTreeSet::new(),
             ready: false,
         }
@@ -209,7 +210,9 @@
                     }
                 }
             } else if !is(wanted) {
-                orders.push(Order::Kill { parcel, attempt, wind_down_s: 0.0 });
+                let key = (s.task.job.clone(), s.task.index, s.attempt);
+                let wind_down_s = self.preempted.get(&key).copied().unwrap_or(0.0);
+                orders.push(Order::Kill { parcel, attempt, wind_down_s });
             }
         }
         for ((job, index), attempt) in wanted {
@@ -364,4 +367,17 @@
         m.push = Some(7);
         assert!(m.orders(&here, &here).is_empty() && !m.gathers("run-1", 0, 2));
     }
+
+    /// Tasks that can save lost their work when they were stopped for others.
+    #[test]
+    fn a_task_that_can_save_gets_the_time_to() {
+        let mut m = Machine::new(1, 1, 1, Duration::ZERO);
+        m.take(&report((1, 1), m.token(), &[("run-1/0", 2, TaskState::Running)]));
+        let kill = |wind_down_s| vec![Order::Kill { parcel: "run-1/0".into(), attempt: 2, wind_down_s }];
+        m.preempted.insert(("run-1".into(), 0, 2), 5.0);
+        assert_eq!(m.orders(&places(&[]), &places(&[("run-1", 0, 2)])), kill(5.0));
+        // Withdrawn meanwhile: its work is of no use to anyone.
+        m.preempted.clear();
+        assert_eq!(m.orders(&places(&[]), &places(&[("run-1", 0, 2)])), kill(0.0));
+    }
 }
--- a/src/protocol/user.rs
+++ b/src/protocol/user.rs
@@ -63,6 +63,11 @@
 }
 
 impl JobSpec {
+    /// The time a running task needs to save when it is stopped, if it can.
+    pub fn saves_in(&self) -> Option<f64> {
+        (self.stamp_every_s > 0.0).then_some(self.stamp_s)
+    }
+
     /// Whether the submission is well formed; says nothing of machine types.
     pub fn well_formed(&self) -> bool {
         let amounts = [
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -192,8 +192,8 @@
         check(
             file,
             "settings.workers.cancel_s",
-            p.workers.cancel_s.is_finite() && p.workers.cancel_s > p.workers.lease_s,
-            "must be above lease_s: a cancellation has to outlast a worker's lease",
+            p.workers.cancel_s.is_finite() && p.workers.cancel_s > p.workers.lease_s + p.workers.report_s,
+            "must be above lease_s and report_s together: a cancellation has to outlast a worker's lease",
         )?;
         check(
             file,
@@ -203,7 +203,11 @@
         )?;
         for t in &p.teams {
             let ok = [t.cpus, t.cpus_max, t.gpus, t.gpus_max].iter().all(|v| v.is_finite() && *v >= 0.0);
-            check(file, &format!("settings.teams.{}", t.name), ok, "must not be negative")?;
+            let field = format!("settings.teams.{}", t.name);
+            check(file, &field, ok, "must not be negative")?;
+            let within = |guaranteed: f64, max: f64| max == 0.0 || guaranteed <= max;
+            let ok = within(t.cpus, t.cpus_max) && within(t.gpus, t.gpus_max);
+            check(file, &field, ok, "guarantees more than its limit allows")?;
         }
         for o in &self.others {
             check(file, "others.member", o.member != self.member, "names this controller itself")?;
@@ -299,6 +303,12 @@
             ("report_s = 2.0", "", "report_s"),
             ("report_s = 2.0", "report_s = 0.0", "settings.workers.report_s"),
             ("cancel_s = 48.0", "cancel_s = 18.0", "settings.workers.cancel_s"),
+            ("cancel_s = 48.0", "cancel_s = 20.0", "settings.workers.cancel_s"),
+            (
+                "zones = [\"z\"]",
+                "zones = [\"z\"]\nteams = [{ name = \"t\", gpus = 9.0, gpus_max = 8.0 }]",
+                "settings.teams.t",
+            ),
             ("10.2.0.1:2379", "store", "state"),
             ("zones = [\"z\"]", "zones = []", "settings.zones"),
             ("rps = 3.0", "rps = nan", "settings.cloud.rps"),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -276,6 +276,38 @@
     }
 }
 
+/// Services leave a machine under notice before it goes, and a gang with a task
+/// there is stopped in order: all its tasks are told at once, with time to save.
+#[test]
+fn machines_under_notice_are_left_in_order() {
+    let mut w = World::new(500, 12);
+    // All machines have had the image.
+    w.submit("run-000", array(48, 2.0));
+    w.run_until(8.0);
+    w.submit("run-009", service(12));
+    let mut j = gang(2);
+    j.cores = 6.0;
+    w.submit("run-004", j);
+    w.run_until(16.0);
+    let on = |x: &world::worker::Worker, job: &str| {
+        x.tasks.values().any(|t| t.job == job && t.state == world::worker::TaskState::Running)
+    };
+    let name = w.workers.values().find(|x| on(x, "run-004")).unwrap().name.clone();
+    let other = w.workers.values().find(|x| on(x, "run-009") && x.name != name).unwrap().name.clone();
+    for n in [&name, &other] {
+        w.workers.get_mut(n).unwrap().recall_at = Some(s(24.0));
+    }
+    w.run_until(20.0);
+    let told: Vec<(std::time::Duration, f64)> =
+        w.workers.values().flat_map(|x| &x.kills).filter(|k| k.1 == "run-004").map(|k| (k.0, k.2)).collect();
+    assert_eq!(told.len(), 2);
+    assert!(told.iter().all(|k| k.1 >= 1.5 && k.0.abs_diff(told[0].0) < s(world::GANG_PEER_S)), "{told:?}");
+    assert!(!on(&w.workers[&other], "run-009"));
+    assert_eq!(running(&w, "run-009"), 12);
+    w.run_until(50.0);
+    assert!(done(&w, "run-004"));
+}
+
 /// A gang's machines get their images at different times, longer apart than its
 /// tasks wait: they wait on, instead of starting anew for ever.
 #[test]
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -351,6 +351,11 @@
             let lag = self.lag();
             self.at(lag, Ev::Answer(node, id, Ok(Reply { status, body })));
         }
+        let due = |w: &Worker| w.recall_at.is_some_and(|t| t <= self.now);
+        for name in self.workers.values().filter(|w| due(w)).map(|w| w.name.clone()).collect::<Vec<_>>() {
+            self.cloud.machines.remove(&name);
+            self.workers.remove(&name);
+        }
         for name in self.cloud.booted(self.now) {
             self.add_worker(&name);
         }
@@ -625,7 +630,7 @@
         "uid" => uid, "docket" => docket, "desk" => j.team.clone(), "form" => form, "urgency" => urgency,
         "parcels" => j.tasks, "cores" => j.cores, "gpus" => j.gpus, "mem_gb" => 1.0, "bundle" => "img-1",
         "size_gb" => 0.5, "builds" => null, "site" => null, "together" => j.together, "apart" => j.apart,
-        "loaners" => true, "expected_s" => j.run_s.min(100.0), "stamp_every_s" => 0.0, "stamp_s" => 0.0, "due_s" => null
+        "loaners" => true, "expected_s" => j.run_s.min(100.0), "stamp_every_s" => if j.gang { 2.0 } else { 0.0 }, "stamp_s" => 1.5, "due_s" => null
     })
     .unwrap()
 }
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -47,6 +47,10 @@
     pub runs: BTreeMap<String, f64>,
     /// Gangs that the users submitted: tasks of these wait for each other.
     pub gangs: BTreeSet<String>,
+    /// The machine is taken away then.
+    pub recall_at: Option<Duration>,
+    /// Kills of running tasks: when, of which job, with how much time to save.
+    pub kills: Vec<(Duration, String, f64)>,
     /// Seconds that each image takes here, for the next tasks.
     pub fetch_s: f64,
 }
@@ -74,6 +78,8 @@
             sick: false,
             runs: BTreeMap::new(),
             gangs: BTreeSet::new(),
+            recall_at: None,
+            kills: Vec::new(),
             fetch_s: 0.5,
         }
     }
@@ -143,8 +149,9 @@
         }
     }
 
-    fn report(&mut self) -> Vec<u8> {
+    fn report(&mut self, now: Duration) -> Vec<u8> {
         self.tally += 1;
+        let recall_s = self.recall_at.map(|t| t.saturating_sub(now).as_secs_f64());
         let tasks: Vec<Value> = self
             .tasks
             .iter()
@@ -161,7 +168,7 @@
         bytes(
             &cbor!({"perch" => self.name.clone(), "addr" => self.addr.clone(), "build" => "std", "site" => self.site.clone(),
                 "loaners" => self.spot, "shift" => self.shift, "tally" => self.tally, "warrant" => self.warrant,
-                "recall_s" => null, "parcels" => tasks})
+                "recall_s" => recall_s, "parcels" => tasks})
             .unwrap(),
         )
     }
@@ -171,7 +178,7 @@
             return None;
         }
         self.flight = Some(now);
-        Some(self.report())
+        Some(self.report(now))
     }
 
     /// Answer to report `tally`; status 0 is none. Names the tasks it starts.
@@ -204,11 +211,11 @@
     pub fn pushed(&mut self, body: &Value, now: Duration) -> (u16, Vec<u8>, Vec<(String, u32)>) {
         let token = number(body, "warrant");
         if token < self.warrant || number(body, "shift") != self.shift {
-            return (409, self.report(), Vec::new());
+            return (409, self.report(now), Vec::new());
         }
         self.warrant = token;
         let started = self.execute(body, now);
-        (200, self.report(), started)
+        (200, self.report(now), started)
     }
 
     fn execute(&mut self, body: &Value, now: Duration) -> Vec<(String, u32)> {
@@ -235,6 +242,8 @@
                 }
                 "kill" => {
                     if let Some(t) = self.tasks.get_mut(&key).filter(|t| t.state != TaskState::Exited) {
+                        let wind_down_s = get(&o, "wind_down_s").and_then(Value::as_float).unwrap_or(0.0);
+                        self.kills.push((now, t.job.clone(), wind_down_s));
                         (t.state, t.cause) = (TaskState::Exited, "stopped");
                     }
                 }
