--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -290,6 +290,14 @@
         }
     }
 
+    /// The pack's record with the grant that is in force. What writes a pack
+    /// anew for another reason writes this: the record's own grant may be an
+    /// older one, which would come into force again by being written.
+    pub fn in_force(&self, p: &Versioned<PackRec>) -> PackRec {
+        let BlockRec { incarnation, term, epoch } = self.grant(p).1;
+        PackRec { incarnation, term, epoch, ..p.rec.clone() }
+    }
+
     /// Whether the pack's holder lives, in the incarnation that it was granted to.
     pub fn held(&self, p: &Versioned<PackRec>) -> bool {
         self.is_live(&p.rec.owner, self.grant(p).1.incarnation)
@@ -510,6 +518,14 @@
         assert!(v.owned(&h.rec) && h.rec.drain);
         assert_eq!((h.version, h.rec.granted, h.rec.term, h.rec.epoch), (4, 6, 2, 9));
         assert!(v.restarted().is_empty());
+        // A machine of the pack was marked: written with its own old grant, the
+        // pack went back to the dead incarnation, and with it the whole block
+        // was granted anew, again and again.
+        let marked = v.in_force(&v.packs["m-1"]);
+        v.put("fq/h/m-1", &to_value(&marked), 7);
+        let h = &v.hosts["m-2"];
+        assert!(v.owned(&h.rec) && v.restarted().is_empty());
+        assert_eq!((h.rec.term, h.rec.epoch), (2, 9));
         v.put("fq/h/m-1", &pack("b", 1), 8);
         assert_eq!((v.hosts["m-1"].rec.owner.as_str(), v.hosts["m-1"].rec.term), ("b", 1));
         v.delete("fq/h/m-1", 9);
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -855,7 +855,7 @@
         let key = records::pack_key(pack);
         let Some(p) = self.view.packs.get(pack).filter(|_| !self.busy.contains(&key)) else { return false };
         tracing::debug!(machines = ?names, drain, "machines marked");
-        let mut rec = p.rec.clone();
+        let mut rec = self.view.in_force(p);
         rec.drain.retain(|m| !names.contains(m));
         if drain {
             rec.drain.extend_from_slice(names);
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -498,7 +498,7 @@
             if p.version > self.view.revision || self.busy.contains(&key) || !self.may_write(1.0) {
                 continue;
             }
-            let op = match p.rec.without(&names) {
+            let op = match self.view.in_force(p).without(&names) {
                 Some(rec) => store::Op::Put { key: key.clone(), data: records::to_value(&rec), lease: None },
                 None => store::Op::Delete { key: key.clone() },
             };
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -462,8 +462,12 @@
             if job.spec.form == Form::Batch
                 && let Some(n) = turning.get_mut(job.spec.bundle.as_str())
             {
-                let turns = job.spec.size_gb / pull / job.spec.expected_s.max(f64::MIN_POSITIVE);
-                stay = (*n * turns * STAYS).min(tasks.len() as f64) as u32;
+                let fetch_s = job.spec.size_gb / pull;
+                let turns = fetch_s / job.spec.expected_s.max(f64::MIN_POSITIVE);
+                // One that waited so long already was wrong to.
+                if waited_s < fetch_s * STAYS {
+                    stay = (*n * turns * STAYS).min(tasks.len() as f64) as u32;
+                }
                 *n = (*n - f64::from(stay) / turns.max(f64::MIN_POSITIVE)).max(0.0);
             }
             waiting.push(Waiting {
