--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -779,7 +779,11 @@
         let keeps = if pressed && self.aims.behind() { BEHIND_KEEPS[thrift] } else { 1.0 };
         let free: f64 = rooms.iter().map(|(_, r)| r.free_cores()).sum();
         self.slack.push_back((now, free));
-        let window = |times: f64| self.secs(boot * self.set.operator.idle_boots * times);
+        // Whoever comes after a machine has to wait for a boot and an image.
+        let pull = self.types.iter().map(|t| t.pull_gb_per_s).fold(f64::MIN_POSITIVE, f64::max);
+        let images = self.view.jobs.values().map(|j| j.spec.size_gb / pull);
+        let again = boot + images.sum::<f64>() / (self.view.jobs.len() as f64).max(1.0);
+        let window = |times: f64| self.secs(again * self.set.operator.idle_boots * times);
         let (short, long) = (window(1.0), window(keeps));
         let longest = window(BEHIND_KEEPS[0]);
         while self.slack.front().is_some_and(|(t, _)| now.saturating_sub(*t) > longest) {
