Protocol becomes a package of its own in a workspace

Users' tools, an emulator and later agents need the wire types without the controller. The messages move unchanged to crates/protocol; the root package stays the controller and the workspace's only default member, so the build in deploy/service.toml makes what it made before. No behaviour changes.

--- a/src/protocol/cloud.rs
+++ b/crates/protocol/src/cloud.rs
@@ -1,6 +1,6 @@
 //! The cloud's interface: catalog, list, rent, release.
 
-use super::amount;
+use crate::amount;
 use serde::{Deserialize, Serialize};
 
 /// Most machines one rental may ask for.
--- a/src/protocol/user.rs
+++ b/crates/protocol/src/user.rs
@@ -1,6 +1,6 @@
 //! What users send and get: submissions, queries, withdrawals.
 
-use super::{amount, amount_or_null};
+use crate::{amount, amount_or_null};
 use serde::{Deserialize, Serialize};
 
 /// Longest name (team, class, image, machine type, zone) that is accepted.
@@ -63,6 +63,32 @@
 }
 
 impl JobSpec {
+    /// A small array that any machine can run; for examples and tests.
+    pub fn example(uid: &str) -> JobSpec {
+        JobSpec {
+            uid: uid.into(),
+            docket: "c".into(),
+            desk: "d".into(),
+            form: Form::Batch,
+            urgency: Urgency::Standard,
+            parcels: 2,
+            cores: 1.0,
+            gpus: 0.0,
+            mem_gb: 1.0,
+            bundle: "img".into(),
+            size_gb: 1.0,
+            builds: None,
+            site: None,
+            together: false,
+            apart: false,
+            loaners: true,
+            expected_s: 10.0,
+            stamp_every_s: 0.0,
+            stamp_s: 0.0,
+            due_s: None,
+        }
+    }
+
     /// The time a running task needs to save when it is stopped, if it can.
     pub fn saves_in(&self) -> Option<f64> {
         (self.stamp_every_s > 0.0).then_some(self.stamp_s)
@@ -149,38 +175,13 @@
 }
 
 #[cfg(test)]
-pub(crate) mod tests {
+mod tests {
     use super::*;
-    use crate::protocol::{decode, encode};
+    use crate::{decode, encode};
     use ciborium::Value;
 
-    pub(crate) fn spec(uid: &str) -> JobSpec {
-        JobSpec {
-            uid: uid.into(),
-            docket: "c".into(),
-            desk: "d".into(),
-            form: Form::Batch,
-            urgency: Urgency::Standard,
-            parcels: 2,
-            cores: 1.0,
-            gpus: 0.0,
-            mem_gb: 1.0,
-            bundle: "img".into(),
-            size_gb: 1.0,
-            builds: None,
-            site: None,
-            together: false,
-            apart: false,
-            loaners: true,
-            expected_s: 10.0,
-            stamp_every_s: 0.0,
-            stamp_s: 0.0,
-            due_s: None,
-        }
-    }
-
     fn with(field: &str, value: Option<Value>) -> Vec<u8> {
-        let Ok(Value::Map(mut map)) = Value::serialized(&spec("run-1")) else { panic!("not a map") };
+        let Ok(Value::Map(mut map)) = Value::serialized(&JobSpec::example("run-1")) else { panic!("not a map") };
         map.retain(|(k, _)| k.as_text() != Some(field));
         map.extend(value.map(|v| (Value::Text(field.into()), v)));
         encode(&Value::Map(map))
--- a/src/protocol/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -1,6 +1,6 @@
 //! What passes between controllers and the workers on the machines.
 
-use super::amount_or_null;
+use crate::amount_or_null;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
--- a/src/bookkeeping/aims.rs
+++ b/src/bookkeeping/aims.rs
@@ -88,7 +88,7 @@
             times: None,
         };
         let mut aims = Aims::new(vec![o]);
-        let spec = crate::protocol::user::tests::spec("run-1");
+        let spec = JobSpec::example("run-1");
         assert_eq!(aims.end_within(&spec), Some(10.0));
         assert!(!aims.behind());
         for _ in 0..3 {
@@ -113,7 +113,7 @@
             times: None,
         };
         let aims = Aims::new(vec![o(40.0), o(20.0)]);
-        let spec = crate::protocol::user::tests::spec("run-1");
+        let spec = JobSpec::example("run-1");
         let from = |age_s| aims.end_from(&spec, age_s, 7.0);
         assert_eq!((from(0.0), from(14.0), from(50.0)), (Some(20.0), Some(40.0), Some(40.0)));
         assert_eq!(Aims::new(Vec::new()).end_from(&spec, 0.0, 7.0), None);
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -483,7 +483,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::protocol::user::tests::spec;
 
     fn pack(owner: &str, incarnation: u64) -> Value {
         let names = ["m-1", "m-2"].map(String::from).to_vec();
@@ -536,7 +535,7 @@
     #[test]
     fn loads_agree_with_a_full_count() {
         let mut v = View::new(8);
-        let mut s = spec("run-1");
+        let mut s = JobSpec::example("run-1");
         s.parcels = 16;
         let rec = JobRec { spec: Some(s.clone()), end: None, parcels: 16, at_ms: 0, shares: Vec::new() };
         v.put("fq/j/run-1", &to_value(&rec), 1);
--- a/src/coordination/blocks.rs
+++ b/src/coordination/blocks.rs
@@ -281,13 +281,12 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::protocol::user::tests::spec;
 
     /// A job leased whole to a controller with a queue waited there while
     /// other blocks stood free a second later.
     #[test]
     fn tasks_that_wait_go_to_the_shortest_queues() {
-        let mut s = spec("run-1");
+        let mut s = JobSpec::example("run-1");
         s.cores = 1.0;
         s.parcels = 30;
         let members = ["a", "b", "c"].map(String::from);
@@ -313,7 +312,7 @@
     /// apart, nor one with little room in each a gang that must be together.
     #[test]
     fn a_lease_counts_room_where_the_job_may_have_it() {
-        let mut s = spec("run-1");
+        let mut s = JobSpec::example("run-1");
         s.parcels = 4;
         let room = |m: &str, site: &str, cores| {
             let mut r = crate::placement::tests::room("m", cores, "");
@@ -336,7 +335,7 @@
     /// own that had to fetch it: jobs wait where their image is or will be.
     #[test]
     fn jobs_with_one_image_gather_in_one_block() {
-        let mut s = spec("run-1");
+        let mut s = JobSpec::example("run-1");
         s.form = crate::protocol::user::Form::Standing;
         let members = ["a", "b", "c"].map(String::from);
         let holder = |queues: &[(&str, f64)], alike: &[(&str, u32)]| {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -186,7 +186,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::protocol::user::tests::spec;
 
     fn types() -> Vec<MachineType> {
         vec![MachineType {
@@ -213,7 +212,7 @@
     #[test]
     fn only_what_does_not_fit_is_rented() {
         // Room to spare is asked for more tasks than the job at hand has.
-        let s = spec("run-1");
+        let s = JobSpec::example("run-1");
         let d = |tasks| Demand { tasks, ..Demand::spare(&s, tasks) };
         let boots = || vec![Room::empty("m", &types()[0], "a", true)];
         assert_eq!(rentals(d(4), boots(), &[]), vec![]);
@@ -223,7 +222,7 @@
 
     #[test]
     fn thrift_waits_where_spot_would_do_and_pays_where_it_may_not() {
-        let (any, mut ordinary) = (spec("run-1"), spec("run-2"));
+        let (any, mut ordinary) = (JobSpec::example("run-1"), JobSpec::example("run-2"));
         ordinary.loaners = false;
         fn thrifty(spec: &JobSpec) -> Demand<'_> {
             Demand { thrifty: true, ..Demand::spare(spec, 2) }
@@ -240,7 +239,7 @@
         let mut types = types();
         types[0].sites = ["a", "b", "c"].map(String::from).to_vec();
         let room = |site: &str| Room::empty("m", &types[0], site, false);
-        let mut s = spec("run-1");
+        let mut s = JobSpec::example("run-1");
         s.cores = 2.0;
         s.parcels = 4;
         s.apart = true;
@@ -275,7 +274,7 @@
     /// therefore got none of their own until the services had taken it.
     #[test]
     fn room_that_services_will_take_is_none_for_others() {
-        let s = spec("run-1");
+        let s = JobSpec::example("run-1");
         let d = |spare| Demand { spare, ..Demand::spare(&s, 3) };
         let mut rooms = vec![Room::empty("m", &types()[0], "a", false)];
         take_up(&[d(true)], &mut rooms);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,6 @@
 pub mod effects;
 pub mod fleet;
 pub mod placement;
-pub mod protocol;
+pub use finchquay_protocol as protocol;
 pub mod settings;
 pub mod transport;
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -501,7 +501,6 @@
 #[cfg(test)]
 pub(crate) mod tests {
     use super::*;
-    use crate::protocol::user::tests::spec;
 
     pub(crate) fn room(name: &str, cores: f64, image: &str) -> Room {
         Room {
@@ -545,7 +544,7 @@
     /// An ensemble that starts in part holds machines and makes no progress.
     #[test]
     fn an_ensemble_starts_whole_or_not_at_all() {
-        let mut gang = spec("run-1");
+        let mut gang = JobSpec::example("run-1");
         gang.form = Form::Ensemble;
         gang.parcels = 5;
         assert!(run(&mut [room("m1", 3.0, ""), room("m2", 1.0, "")], vec![waits(&gang, 5, 1.0, 1.0)]).is_empty());
@@ -560,7 +559,7 @@
     /// tasks, and jobs that could still be saved were never looked at.
     #[test]
     fn a_late_backlog_does_not_hide_what_can_be_saved() {
-        let (late, new) = (spec("run-1"), spec("run-2"));
+        let (late, new) = (JobSpec::example("run-1"), JobSpec::example("run-2"));
         let mut old = waits(&late, 600, -5.0, 9.0);
         old.waited_s = 20.0;
         let starts = run(&mut [room("m1", 4.0, "")], vec![old, waits(&new, 3, 5.0, 9.0)]);
@@ -571,7 +570,7 @@
     /// jobs first made every job late.
     #[test]
     fn jobs_that_can_meet_their_aim_go_before_late_ones() {
-        let (late, big, small) = (spec("run-1"), spec("run-2"), spec("run-3"));
+        let (late, big, small) = (JobSpec::example("run-1"), JobSpec::example("run-2"), JobSpec::example("run-3"));
         let waiting = vec![waits(&late, 2, -1.0, 1.0), waits(&big, 2, 5.0, 9.0), waits(&small, 2, 5.0, 2.0)];
         let starts = run(&mut [room("m1", 3.0, "")], waiting);
         let count = |uid: &str| starts.iter().filter(|s| s.uid == uid).count();
@@ -580,7 +579,7 @@
 
     #[test]
     fn constraints_of_a_job_are_kept() {
-        let mut s = spec("run-1");
+        let mut s = JobSpec::example("run-1");
         s.loaners = false;
         let mut spot = room("m1", 8.0, "");
         spot.spot = true;
@@ -600,9 +599,9 @@
     /// least makes room, and no task of the same urgency ever does.
     #[test]
     fn preemption_takes_the_cheapest_victim_where_the_image_is() {
-        let mut service = spec("run-1");
+        let mut service = JobSpec::example("run-1");
         service.urgency = Urgency::Urgent;
-        let array = spec("run-2");
+        let array = JobSpec::example("run-2");
         let victim = |index, spec, cost| Victim { uid: "run-2".into(), index, attempt: 1, spec, cost };
         let rooms = vec![
             (room("m1", 0.0, "other"), vec![victim(0, &array, 0.0)]),
@@ -626,7 +625,7 @@
     /// where other machines are free.
     #[test]
     fn an_empty_machine_takes_tasks_of_one_image() {
-        let (a, mut b) = (spec("run-1"), spec("run-2"));
+        let (a, mut b) = (JobSpec::example("run-1"), JobSpec::example("run-2"));
         b.bundle = "other".into();
         let mut rooms = [room("m1", 8.0, ""), room("m2", 8.0, "")];
         let starts = run(&mut rooms, vec![waits(&a, 2, 1.0, 1.0), waits(&b, 2, 1.0, 2.0)]);
@@ -640,7 +639,7 @@
     /// and started later than those that stayed where it was.
     #[test]
     fn tasks_stay_where_their_image_is_if_that_is_sooner() {
-        let s = spec("run-1");
+        let s = JobSpec::example("run-1");
         let mut w = waits(&s, 6, 1.0, 1.0);
         w.stay = 2;
         let starts = run(&mut [room("m1", 1.0, "img"), room("m2", 8.0, "")], vec![w]);
@@ -652,7 +651,7 @@
     /// and a machine with its GPUs taken is full.
     #[test]
     fn gpus_bind_like_cores() {
-        let (mut big, mut small) = (spec("run-1"), spec("run-2"));
+        let (mut big, mut small) = (JobSpec::example("run-1"), JobSpec::example("run-2"));
         (big.gpus, small.gpus) = (2.0, 1.0);
         let mut r = room("m1", 8.0, "img");
         (r.gpus, r.total_gpus) = (4.0, 4.0);
@@ -666,7 +665,7 @@
     /// it goes where all of it finds the image, whatever the machines' names.
     #[test]
     fn a_gang_goes_where_its_image_is() {
-        let mut gang = spec("run-1");
+        let mut gang = JobSpec::example("run-1");
         gang.form = Form::Ensemble;
         gang.together = true;
         gang.cores = 8.0;
@@ -682,7 +681,7 @@
     /// services: only room that is there, or that arrays can make, is waited for.
     #[test]
     fn nothing_is_waited_for_where_no_room_can_come() {
-        let mut service = spec("run-1");
+        let mut service = JobSpec::example("run-1");
         (service.form, service.size_gb) = (Form::Standing, 10.0);
         let wait = || Waiting { start_within_s: Some(4.0), ..waits(&service, 1, 1.0, 1.0) };
         let full = room("m1", 0.0, "img");
@@ -696,11 +695,11 @@
     /// machine that came free was taken before there was a second.
     #[test]
     fn a_gang_holds_what_it_found() {
-        let mut gang = spec("run-1");
+        let mut gang = JobSpec::example("run-1");
         gang.form = Form::Ensemble;
         gang.together = true;
         gang.cores = 8.0;
-        let array = spec("run-2");
+        let array = JobSpec::example("run-2");
         let mut rooms: Vec<Room> = ["m1", "m2", "m3", "m4"].map(|m| room(m, 2.0, "img")).into();
         rooms[2] = room("m3", 8.0, "img");
         let starts = run(&mut rooms, vec![waits(&gang, 2, 1.0, 1.0), waits(&array, 9, 1.0, 1.0)]);
@@ -715,7 +714,7 @@
     /// use spot ones, in blocks where no gang waited yet; more were rented.
     #[test]
     fn machines_are_kept_for_gangs_that_wait_elsewhere() {
-        let (array, mut ordinary) = (spec("run-1"), spec("run-2"));
+        let (array, mut ordinary) = (JobSpec::example("run-1"), JobSpec::example("run-2"));
         ordinary.loaners = false;
         let mut rooms = [room("m1", 8.0, "img"), room("m2", 8.0, "img"), room("m3", 7.0, "img")];
         rooms[1].spot = true;
