Protocol messages are read and written in both directions

Only the controller's side of each message could be encoded or decoded. The controller's bytes do not change.

--- a/crates/protocol/src/cloud.rs
+++ b/crates/protocol/src/cloud.rs
@@ -2,18 +2,19 @@
 
 use crate::amount;
 use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
 
 /// Most machines one rental may ask for.
 pub const RENT_LIMIT: u32 = 50;
 /// Most names one release may hold.
 pub const RELEASE_LIMIT: usize = 100;
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Catalog {
     pub builds: Vec<MachineType>,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct MachineType {
     pub label: String,
     #[serde(deserialize_with = "amount")]
@@ -35,29 +36,29 @@
     pub sites: Vec<String>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Rent<'a> {
-    pub charter: &'a str,
-    pub build: &'a str,
-    pub site: &'a str,
+    pub charter: Cow<'a, str>,
+    pub build: Cow<'a, str>,
+    pub site: Cow<'a, str>,
     #[serde(rename = "loaners")]
     pub spot: bool,
     pub number: u32,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Rented {
     #[serde(rename = "perches")]
     pub machines: Vec<String>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Release<'a> {
     #[serde(rename = "perches")]
-    pub machines: &'a [String],
+    pub machines: Cow<'a, [String]>,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Phase {
     Booting,
@@ -67,9 +68,12 @@
     Other,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Listed {
     pub uid: String,
+    /// Where the machine's worker listens; controllers learn it from reports.
+    #[serde(default)]
+    pub addr: String,
     pub build: String,
     pub site: String,
     #[serde(rename = "loaners")]
@@ -80,7 +84,7 @@
     pub held_s: f64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Page {
     #[serde(rename = "perches")]
     pub machines: Vec<Listed>,
@@ -88,10 +92,37 @@
     pub truncated: bool,
 }
 
+/// Most machines that one page of the list holds.
+pub const LIST_LIMIT: usize = 500;
+
 pub const CATALOG: &str = "/catalog";
 pub const RENT: &str = "/hosts";
 pub const RELEASE: &str = "/hosts/release";
 
+/// What a request to the cloud asks for.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Route<'a> {
+    Catalog,
+    Rent,
+    Release,
+    List { after: &'a str, page: usize },
+}
+
+/// Tells what a request line asks for; `None` is a path or method that is not served.
+pub fn route<'a>(method: &str, path: &'a str) -> Option<Route<'a>> {
+    let (path, query) = path.split_once('?').unwrap_or((path, ""));
+    match (method, path) {
+        ("GET", CATALOG) => Some(Route::Catalog),
+        ("POST", RENT) => Some(Route::Rent),
+        ("POST", RELEASE) => Some(Route::Release),
+        ("GET", RENT) => {
+            let page = crate::query(query, "page").map_or(Ok(LIST_LIMIT), str::parse).ok()?;
+            Some(Route::List { after: crate::query(query, "after").unwrap_or(""), page: page.clamp(1, LIST_LIMIT) })
+        }
+        _ => None,
+    }
+}
+
 pub fn list_path(after: &str) -> String {
     if after.is_empty() { "/hosts?page=500".into() } else { format!("/hosts?after={after}&page=500") }
 }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -35,6 +35,11 @@
     out
 }
 
+/// One argument of a query string, as it was sent: nothing on these interfaces is escaped.
+pub fn query<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').find_map(|part| part.split_once('=').filter(|(k, _)| *k == name).map(|(_, v)| v))
+}
+
 /// An amount: decimal on the wire, though some encoders shorten 4.0 to 4.
 pub(crate) fn amount<'de, D: Deserializer<'de>>(d: D) -> Result<f64, D::Error> {
     Ok(Amount::deserialize(d)?.into())
--- a/crates/protocol/src/user.rs
+++ b/crates/protocol/src/user.rs
@@ -2,6 +2,7 @@
 
 use crate::{amount, amount_or_null};
 use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
 
 /// Longest name (team, class, image, machine type, zone) that is accepted.
 const NAME_LIMIT: usize = 128;
@@ -132,17 +133,19 @@
     Withdrawn,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobState<'a> {
-    pub uid: &'a str,
+    pub uid: Cow<'a, str>,
     pub status: Status,
+    #[serde(default)]
     pub done: u32,
+    #[serde(default)]
     pub running: u32,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct ErrorBody<'a> {
-    pub error: &'a str,
+    pub error: Cow<'a, str>,
 }
 
 /// What a request of a user, worker or load balancer asks for.
--- a/crates/protocol/src/worker.rs
+++ b/crates/protocol/src/worker.rs
@@ -2,6 +2,7 @@
 
 use crate::amount_or_null;
 use serde::{Deserialize, Serialize};
+use std::borrow::Cow;
 use std::fmt;
 
 /// Name of one task: job id and number, `run-000412/3` on the wire.
@@ -24,7 +25,7 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum TaskState {
     Fetching,
@@ -34,7 +35,7 @@
     Exited,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Cause {
     Done,
@@ -49,19 +50,19 @@
     Other,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct TaskReport {
     pub parcel: String,
     #[serde(rename = "try")]
     pub attempt: u64,
     pub status: TaskState,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cause: Option<Cause>,
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub kept: Option<bool>,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Report {
     #[serde(rename = "perch")]
     pub machine: String,
@@ -79,7 +80,7 @@
     pub tasks: Vec<TaskReport>,
 }
 
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "verb", rename_all = "lowercase")]
 pub enum Order {
     Run {
@@ -101,23 +102,23 @@
 }
 
 /// Answer to a report.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Answer<'a> {
     pub warrant: u64,
-    pub orders: &'a [Order],
+    pub orders: Cow<'a, [Order]>,
 }
 
 /// Orders sent straight to a worker.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Push<'a> {
     pub warrant: u64,
     pub shift: u64,
-    pub orders: &'a [Order],
+    pub orders: Cow<'a, [Order]>,
 }
 
 /// Answer that sends the worker to another controller.
-#[derive(Debug, Serialize)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Redirect<'a> {
-    #[serde(skip_serializing_if = "Option::is_none")]
-    pub harbor: Option<&'a str>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub harbor: Option<Cow<'a, str>>,
 }
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -748,9 +748,9 @@
             self.charter += 1;
             let charter = format!("fq-{}-{}", self.term(), self.charter);
             let body = encode(&Rent {
-                charter: &charter,
-                build: &r.offer.build,
-                site: &r.offer.site,
+                charter: charter.as_str().into(),
+                build: r.offer.build.as_str().into(),
+                site: r.offer.site.as_str().into(),
                 spot: r.offer.spot,
                 number: r.number,
             });
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -62,7 +62,7 @@
         let Some(m) = self.machines.get_mut(&name) else { return };
         let orders = m.orders(&wanted, &kept);
         m.answered_at = Some(now);
-        let body = encode(&Answer { warrant: m.token(), orders: &orders });
+        let body = encode(&Answer { warrant: m.token(), orders: orders.into() });
         self.respond(conn, 200, body);
     }
 
@@ -88,7 +88,7 @@
 
     fn redirect(&mut self, conn: ConnId, to: Option<&str>) {
         let harbor = to.filter(|t| *t != self.me);
-        self.respond(conn, 421, encode(&Redirect { harbor }));
+        self.respond(conn, 421, encode(&Redirect { harbor: harbor.map(Into::into) }));
     }
 
     /// Brings the machines in memory in line with the grants in the view.
@@ -244,7 +244,7 @@
         if orders.is_empty() {
             return;
         }
-        let body = encode(&Push { warrant: m.token(), shift: m.at.0, orders: &orders });
+        let body = encode(&Push { warrant: m.token(), shift: m.at.0, orders: orders.into() });
         let grant = m.epoch;
         let timeout = self.report_s(1.0);
         let purpose = Purpose::Push { machine: name.to_string(), grant };
@@ -436,7 +436,7 @@
     pub(super) fn release(&mut self, machines: Vec<String>) {
         self.cloud.spend(self.now, 1.0);
         self.releasing.extend(machines.iter().cloned());
-        let body = encode(&Release { machines: &machines });
+        let body = encode(&Release { machines: machines.as_slice().into() });
         let timeout = self.report_s(2.0);
         self.call(Target::Cloud, "POST", RELEASE.into(), Some(body), timeout, Purpose::Release { machines });
     }
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -33,7 +33,7 @@
     }
 
     pub(super) fn refuse(&mut self, conn: ConnId, status: u16, error: &str) {
-        self.respond(conn, status, encode(&ErrorBody { error }));
+        self.respond(conn, status, encode(&ErrorBody { error: error.into() }));
     }
 
     /// Whether the load balancer should send users here. In an outage that
@@ -106,7 +106,7 @@
                 let to: Vec<&str> = j.rec.rec.shares.iter().map(|s| s.member.as_str()).collect();
                 tracing::debug!(job = %uid, class = %j.spec.docket, tasks = j.spec.parcels, ?to, "accepted");
             }
-            let body = encode(&JobState { uid, status: Status::Pending, done: 0, running: 0 });
+            let body = encode(&JobState { uid: uid.into(), status: Status::Pending, done: 0, running: 0 });
             for conn in conns {
                 self.respond(conn, 201, body.clone());
             }
@@ -171,7 +171,7 @@
     fn tell(&mut self, conn: ConnId, uid: &str) {
         match self.view.status(uid) {
             Some((status, done, running)) => {
-                let body = encode(&JobState { uid, status, done, running });
+                let body = encode(&JobState { uid: uid.into(), status, done, running });
                 self.respond(conn, 200, body);
             }
             None => self.refuse(conn, 404, "no such job"),
