--- /dev/null
+++ b/crates/ctl/src/jobfile.rs
@@ -0,0 +1,303 @@
+//! Job files: HCL with the names that people use, read into submissions. The
+//! published JSON Schema comes from the same types.
+
+use finchquay_hcl::{File, HclError};
+use finchquay_protocol::user::{Form, JobSpec, TASKS_LIMIT, Urgency, valid_uid};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// A job file.
+#[derive(Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct JobFile {
+    /// Jobs by name. The name is only for the file and its messages.
+    job: BTreeMap<String, Job>,
+}
+
+/// One job.
+#[derive(Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct Job {
+    /// The job's id: `run-` and 1 to 18 digits. Chosen anew and remembered where absent.
+    #[serde(default)]
+    id: Option<String>,
+    /// Class of jobs that it belongs to.
+    class: String,
+    /// Team whose guarantee and limit apply.
+    team: String,
+    kind: Kind,
+    #[serde(default)]
+    urgency: Level,
+    /// Number of tasks.
+    #[schemars(range(min = 1, max = 100_000))]
+    #[serde(default = "one")]
+    tasks: u32,
+    /// CPUs that each task takes.
+    #[schemars(range(min = 0.0))]
+    cpus: f64,
+    /// GPUs that each task takes.
+    #[schemars(range(min = 0.0))]
+    #[serde(default)]
+    gpus: f64,
+    /// Memory that each task takes, in GB.
+    #[schemars(range(min = 0.0))]
+    memory_gb: f64,
+    image: Image,
+    /// Machine types that it may run on; any where absent.
+    #[serde(default)]
+    machine_types: Option<Vec<String>>,
+    /// The only zone that it may run in; any where absent.
+    #[serde(default)]
+    zone: Option<String>,
+    /// All tasks in one zone.
+    #[serde(default)]
+    one_zone: bool,
+    /// At most half of the tasks, rounded up, in one zone.
+    #[serde(default)]
+    spread: bool,
+    /// Whether spot machines may be used.
+    #[serde(default)]
+    spot: bool,
+    /// Estimated run time of a task, in seconds; 0 for services.
+    #[schemars(range(min = 0.0))]
+    #[serde(default)]
+    expected_s: f64,
+    /// How tasks save their progress; they can't where absent.
+    #[serde(default)]
+    checkpoint: Option<Checkpoint>,
+    /// When the job should be complete, in seconds from its submission.
+    #[schemars(range(min = 0.0))]
+    #[serde(default)]
+    deadline_s: Option<f64>,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize, Serialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+enum Kind {
+    /// Independent tasks that run to completion.
+    Array,
+    /// All tasks run at the same time or none does.
+    Gang,
+    /// Replicas that run until the job is withdrawn.
+    Service,
+}
+
+#[derive(Debug, Clone, Copy, Default, Deserialize, Serialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+enum Level {
+    Idle,
+    #[default]
+    Standard,
+    Urgent,
+    Production,
+}
+
+/// The image that a machine must have before a task can start.
+#[derive(Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct Image {
+    name: String,
+    #[schemars(range(min = 0.0))]
+    size_gb: f64,
+}
+
+#[derive(Debug, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct Checkpoint {
+    /// Interval of progress after which a task saves, in seconds.
+    every_s: f64,
+    /// Time that a task needs to save when it is stopped, in seconds.
+    save_s: f64,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// A job of a file: its name there, and the submission. The uid is empty where
+/// the file gives none.
+#[derive(Debug)]
+pub struct NamedJob {
+    pub name: String,
+    pub spec: JobSpec,
+}
+
+/// Reads and judges a job file.
+pub fn read(path: &Path) -> Result<Vec<NamedJob>, HclError> {
+    let file = File::read(path)?;
+    let jobs: JobFile = file.typed()?;
+    if jobs.job.is_empty() {
+        return Err(file.refuse(&["job"], "the file holds no job"));
+    }
+    let mut out = Vec::new();
+    let mut seen = BTreeMap::new();
+    for (name, job) in jobs.job {
+        job.judge(&name, &file)?;
+        if let Some(id) = &job.id
+            && let Some(other) = seen.insert(id.clone(), name.clone())
+        {
+            return Err(file.refuse(&["job", &name, "id"], format!("is the id of job {other:?} too")));
+        }
+        out.push(NamedJob { spec: job.spec(), name });
+    }
+    Ok(out)
+}
+
+/// The JSON Schema of job files, as text.
+pub fn schema() -> String {
+    serde_json::to_string_pretty(&schemars::schema_for!(JobFile)).unwrap_or_default()
+}
+
+impl Job {
+    fn judge(&self, name: &str, file: &File) -> Result<(), HclError> {
+        let amounts = [
+            ("cpus", self.cpus),
+            ("gpus", self.gpus),
+            ("memory_gb", self.memory_gb),
+            ("expected_s", self.expected_s),
+            ("deadline_s", self.deadline_s.unwrap_or(0.0)),
+        ];
+        for (key, v) in amounts {
+            if !v.is_finite() || v < 0.0 {
+                return Err(file.refuse(&["job", name, key], format!("must not be negative, is {v}")));
+            }
+        }
+        if !self.image.size_gb.is_finite() || self.image.size_gb < 0.0 {
+            return Err(file.refuse(&["job", name, "image", "size_gb"], "must not be negative"));
+        }
+        if let Some(c) = &self.checkpoint
+            && !(c.every_s.is_finite() && c.every_s > 0.0 && c.save_s.is_finite() && c.save_s >= 0.0)
+        {
+            return Err(file.refuse(&["job", name, "checkpoint"], "needs every_s above 0 and save_s not below"));
+        }
+        let checks = [
+            ("tasks", (1..=TASKS_LIMIT).contains(&self.tasks), format!("must be from 1 to {TASKS_LIMIT}")),
+            ("cpus", self.cpus > 0.0 || self.memory_gb > 0.0, "a task must take CPUs or memory".into()),
+            ("id", self.id.as_deref().is_none_or(valid_uid), "must be `run-` and 1 to 18 digits".into()),
+            ("spread", !(self.spread && self.one_zone), "can't hold together with one_zone".into()),
+        ];
+        for (key, ok, what) in checks {
+            if !ok {
+                return Err(file.refuse(&["job", name, key], what));
+            }
+        }
+        // Whatever else the service checks, here with its name.
+        let mut spec = self.spec();
+        if spec.uid.is_empty() {
+            spec.uid = "run-0".into();
+        }
+        if !spec.well_formed() {
+            return Err(
+                file.refuse(&["job", name], "a name is empty or longer than 128 bytes, or too many machine types")
+            );
+        }
+        Ok(())
+    }
+
+    fn spec(&self) -> JobSpec {
+        JobSpec {
+            uid: self.id.clone().unwrap_or_default(),
+            docket: self.class.clone(),
+            desk: self.team.clone(),
+            form: match self.kind {
+                Kind::Array => Form::Batch,
+                Kind::Gang => Form::Ensemble,
+                Kind::Service => Form::Standing,
+            },
+            urgency: match self.urgency {
+                Level::Idle => Urgency::Idle,
+                Level::Standard => Urgency::Standard,
+                Level::Urgent => Urgency::Urgent,
+                Level::Production => Urgency::Production,
+            },
+            parcels: self.tasks,
+            cores: self.cpus,
+            gpus: self.gpus,
+            mem_gb: self.memory_gb,
+            bundle: self.image.name.clone(),
+            size_gb: self.image.size_gb,
+            builds: self.machine_types.clone(),
+            site: self.zone.clone(),
+            together: self.one_zone,
+            apart: self.spread,
+            loaners: self.spot,
+            expected_s: self.expected_s,
+            stamp_every_s: self.checkpoint.as_ref().map_or(0.0, |c| c.every_s),
+            stamp_s: self.checkpoint.as_ref().map_or(0.0, |c| c.save_s),
+            due_s: self.deadline_s,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"job "drafts" {
+  class = "return-assembly"
+  team = "preparers"
+  kind = "array"
+  tasks = 40
+  cpus = 2
+  memory_gb = 4.2
+  image {
+    name = "assembly-7"
+    size_gb = 1.5
+  }
+  checkpoint {
+    every_s = 30
+    save_s = 4
+  }
+}
+"#;
+
+    fn read_text(text: &str) -> Result<Vec<NamedJob>, String> {
+        let dir = tempfile::tempdir().unwrap();
+        let path = dir.path().join("jobs.hcl");
+        std::fs::write(&path, text).unwrap();
+        read(&path).map_err(|e| e.to_string().replace(&format!("{}/", dir.path().display()), ""))
+    }
+
+    #[test]
+    fn bad_jobs_are_refused_with_line_and_key() {
+        let jobs = read_text(GOOD).unwrap();
+        assert_eq!((jobs[0].spec.parcels, jobs[0].spec.stamp_s), (40, 4.0));
+        for (from, to, start) in [
+            ("tasks = 40", "tasks = 0", "jobs.hcl:5: job.drafts.tasks: "),
+            ("cpus = 2", "cpus = -2", "jobs.hcl:6: job.drafts.cpus: "),
+            ("kind = \"array\"", "kind = \"swarm\"", "jobs.hcl:4: job.drafts.kind"),
+            ("size_gb = 1.5", "size_gb = -1", "jobs.hcl:10: job.drafts.image.size_gb: "),
+            ("every_s = 30", "every_s = 0", "jobs.hcl:12: job.drafts.checkpoint: "),
+            ("team =", "id = \"job-1\"\n  team =", "jobs.hcl:3: job.drafts.id: "),
+            ("team =", "spread = true\n  one_zone = true\n  team =", "jobs.hcl:3: job.drafts.spread: "),
+            ("tasks = 40", "parcels = 40", "jobs.hcl:5: job.drafts.parcels: "),
+            ("class = \"return-assembly\"", "class = \"\"", "jobs.hcl:1: job.drafts: "),
+            ("job \"drafts\"", "work \"drafts\"", "jobs.hcl:1: work: "),
+        ] {
+            assert!(GOOD.contains(from));
+            let line = read_text(&GOOD.replacen(from, to, 1)).expect_err(to);
+            assert!(line.starts_with(start) && !line.contains('\n'), "{line}");
+        }
+        let twice =
+            format!("{GOOD}{GOOD}").replace("  team", "  id = \"run-5\"\n  team").replacen("drafts", "other", 1);
+        assert!(read_text(&twice).unwrap_err().contains("is the id of job"));
+    }
+
+    /// Editors check files by the schema: it must take what the program takes.
+    #[test]
+    fn the_schema_agrees_with_the_reader() {
+        let schema: serde_json::Value = serde_json::from_str(&schema()).unwrap();
+        let validator = jsonschema::validator_for(&schema).unwrap();
+        let value = |text: &str| hcl_value(text);
+        assert!(validator.is_valid(&value(GOOD)));
+        for (from, to) in [("tasks = 40", "tasks = 0"), ("cpus = 2", "cpu = 2"), ("\"array\"", "\"swarm\"")] {
+            assert!(!validator.is_valid(&value(&GOOD.replace(from, to))), "{to}");
+        }
+    }
+
+    fn hcl_value(text: &str) -> serde_json::Value {
+        File::parse(Path::new("f"), text.into()).unwrap().typed().unwrap()
+    }
+}
