--- /dev/null
+++ b/crates/rehearsal/src/cloud/machine.rs
@@ -0,0 +1,434 @@
+//! What the cloud knows and decides. Pure: time and luck come in. Invariants:
+//! a charter rents once; a name is never used twice; a machine that was listed
+//! stays listed until it is gone.
+
+use crate::bucket::Bucket;
+use finchquay_protocol::cloud::{Catalog, Listed, MachineType, Page, Phase, RELEASE_LIMIT, RENT_LIMIT, Release, Rent};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, HashMap};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// A machine that died is listed as running for this long.
+const DEAD_LISTED: Duration = Duration::from_secs(30);
+/// Shortest time that a rental costs.
+const LEAST_HELD_S: f64 = 60.0;
+
+/// One machine type, and how its machines behave.
+#[derive(Debug, Clone)]
+pub struct Offer {
+    pub kind: MachineType,
+    /// Machines that there are of it in each zone: ordinary and spot.
+    pub capacity: BTreeMap<String, (u32, u32)>,
+    /// Share of machines that never come up.
+    pub cold: f64,
+}
+
+#[derive(Debug, Clone)]
+pub struct Config {
+    pub offers: Vec<Offer>,
+    pub rps: f64,
+    pub list_lag: Duration,
+    /// Warning before a spot machine is taken; some get none.
+    pub notice: Duration,
+    pub silent_share: f64,
+    pub worker_port: u16,
+}
+
+/// What a rehearsal may do to the cloud while it runs.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Fault {
+    Outage(bool),
+    /// Boots of a type, or of all, take this many times as long.
+    Late {
+        build: Option<String>,
+        factor: f64,
+    },
+    /// Machines of a type, or of all, never come up from now on.
+    Cold {
+        build: Option<String>,
+        on: bool,
+    },
+    /// Only this share of the capacity is there.
+    Scarce(f64),
+    /// So many spot machines are taken back.
+    Recall {
+        count: u32,
+    },
+    /// So many machines stop with all that is on them.
+    Die {
+        count: u32,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Happening {
+    Up {
+        name: String,
+    },
+    /// The machine is taken at that time.
+    Notice {
+        name: String,
+        at: Duration,
+    },
+    Gone {
+        name: String,
+        why: &'static str,
+    },
+}
+
+#[derive(Debug, Clone)]
+pub struct Rental {
+    pub build: String,
+    pub site: String,
+    pub spot: bool,
+    pub addr: SocketAddr,
+    pub since: Duration,
+    /// `None`: never.
+    up_at: Option<Duration>,
+    pub up: bool,
+    take_at: Option<Duration>,
+    died_at: Option<Duration>,
+    gone_at: Option<Duration>,
+    listed: bool,
+}
+
+impl Rental {
+    pub fn alive(&self) -> bool {
+        self.gone_at.is_none() && self.died_at.is_none()
+    }
+}
+
+pub struct Cloud {
+    config: Config,
+    rentals: BTreeMap<String, Rental>,
+    charters: HashMap<String, Vec<String>>,
+    rented: u32,
+    bucket: Bucket,
+    rng: StdRng,
+    outage: bool,
+    late: Vec<(Option<String>, f64)>,
+    cold: Vec<Option<String>>,
+    scarce: f64,
+    /// Money spent on machines that are gone.
+    spent: f64,
+    happened: Vec<Happening>,
+}
+
+/// Why nothing was rented.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Refusal {
+    Malformed,
+    NoCapacity,
+}
+
+impl Cloud {
+    pub fn new(config: Config, seed: u64) -> Cloud {
+        Cloud {
+            bucket: Bucket::new(config.rps, 2.0),
+            config,
+            rentals: BTreeMap::new(),
+            charters: HashMap::new(),
+            rented: 0,
+            rng: StdRng::seed_from_u64(seed),
+            outage: false,
+            late: Vec::new(),
+            cold: Vec::new(),
+            scarce: 1.0,
+            spent: 0.0,
+            happened: Vec::new(),
+        }
+    }
+
+    /// Whether a request is served: `Err` is the status that it gets.
+    pub fn admit(&mut self, now: Duration) -> Result<(), u16> {
+        if self.outage {
+            return Err(503);
+        }
+        if self.bucket.take(now, 1.0) { Ok(()) } else { Err(429) }
+    }
+
+    /// The machine types, with spot prices as they are now.
+    pub fn catalog(&mut self) -> Catalog {
+        let mut builds: Vec<MachineType> = self.config.offers.iter().map(|o| o.kind.clone()).collect();
+        for b in &mut builds {
+            b.spot_price *= self.rng.random_range(0.8..1.25);
+        }
+        Catalog { builds }
+    }
+
+    pub fn kind(&self, build: &str) -> Option<&MachineType> {
+        self.config.offers.iter().map(|o| &o.kind).find(|k| k.label == build)
+    }
+
+    pub fn rental(&self, name: &str) -> Option<&Rental> {
+        self.rentals.get(name)
+    }
+
+    pub fn alive(&self) -> impl Iterator<Item = (&String, &Rental)> {
+        self.rentals.iter().filter(|(_, r)| r.alive())
+    }
+
+    pub fn rent(&mut self, now: Duration, ask: &Rent) -> Result<Vec<String>, Refusal> {
+        if let Some(names) = self.charters.get(ask.charter.as_ref()) {
+            return Ok(names.clone());
+        }
+        let offer = self.config.offers.iter().find(|o| o.kind.label == ask.build).ok_or(Refusal::Malformed)?;
+        let (ordinary, spot) = offer.capacity.get(ask.site.as_ref()).copied().ok_or(Refusal::Malformed)?;
+        if ask.charter.is_empty() || !(1..=RENT_LIMIT).contains(&ask.number) {
+            return Err(Refusal::Malformed);
+        }
+        let most = if ask.spot { spot } else { ordinary };
+        let taken =
+            |r: &&Rental| r.gone_at.is_none() && r.build == ask.build && r.site == ask.site && r.spot == ask.spot;
+        let taken = self.rentals.values().filter(taken).count() as u32;
+        let left = ((f64::from(most) * self.scarce) as u32).saturating_sub(taken);
+        if left == 0 {
+            return Err(Refusal::NoCapacity);
+        }
+        let (build, site) = (ask.build.to_string(), ask.site.to_string());
+        let names: Vec<String> =
+            (0..ask.number.min(left)).map(|_| self.create(now, &build, &site, ask.spot, false)).collect();
+        self.charters.insert(ask.charter.to_string(), names.clone());
+        Ok(names)
+    }
+
+    /// Adds a machine; `up` at once for those that stand there at the start.
+    pub fn create(&mut self, now: Duration, build: &str, site: &str, spot: bool, up: bool) -> String {
+        let n = self.rented;
+        self.rented += 1;
+        let name = format!("host-{n:06}");
+        let [_, _, high, low] = (n / 250 * 256 + n % 250 + 1).to_be_bytes();
+        let addr = SocketAddr::from((Ipv4Addr::new(127, 1, high, low), self.config.worker_port));
+        let offer = self.config.offers.iter().find(|o| o.kind.label == build);
+        let (startup, cold) = offer.map_or((0.0, 0.0), |o| (o.kind.startup_s, o.cold));
+        let hit = |b: &Option<String>| b.as_deref().is_none_or(|b| b == build);
+        let factor: f64 = self.late.iter().filter(|(b, _)| hit(b)).map(|(_, f)| f).product();
+        let boot = startup * self.rng.random_range(0.6..1.5) * factor;
+        let never = self.rng.random_bool(cold) || self.cold.iter().any(hit);
+        let up_at = if up { Some(now) } else { (!never).then_some(now + Duration::from_secs_f64(boot)) };
+        let rental = Rental {
+            build: build.into(),
+            site: site.into(),
+            spot,
+            addr,
+            since: now,
+            up_at,
+            up: false,
+            take_at: None,
+            died_at: None,
+            gone_at: None,
+            listed: false,
+        };
+        self.rentals.insert(name.clone(), rental);
+        name
+    }
+
+    /// Releases machines; unknown names are passed over.
+    pub fn release(&mut self, now: Duration, ask: &Release) -> Result<(), Refusal> {
+        if ask.machines.len() > RELEASE_LIMIT {
+            return Err(Refusal::Malformed);
+        }
+        for name in ask.machines.iter() {
+            self.end(now, name, "released");
+        }
+        Ok(())
+    }
+
+    fn end(&mut self, now: Duration, name: &str, why: &'static str) {
+        let Some(r) = self.rentals.get_mut(name).filter(|r| r.gone_at.is_none()) else { return };
+        let was_alive = r.died_at.is_none();
+        r.gone_at = Some(now);
+        let held = r.died_at.unwrap_or(now).saturating_sub(r.since).as_secs_f64().max(LEAST_HELD_S);
+        let rate = self.config.offers.iter().find(|o| o.kind.label == r.build).map(|o| &o.kind);
+        self.spent += rate.map_or(0.0, |k| if r.spot { k.spot_price } else { k.hourly }) * held / 3600.0;
+        if was_alive {
+            self.happened.push(Happening::Gone { name: name.into(), why });
+        }
+    }
+
+    /// Money spent until now, by nominal prices.
+    pub fn spent(&self, now: Duration) -> f64 {
+        let running = self.rentals.values().filter(|r| r.gone_at.is_none()).map(|r| {
+            let held = r.died_at.unwrap_or(now).saturating_sub(r.since).as_secs_f64();
+            self.kind(&r.build).map_or(0.0, |k| if r.spot { k.spot_price } else { k.hourly }) * held / 3600.0
+        });
+        self.spent + running.sum::<f64>()
+    }
+
+    /// The list as it was up to two lags ago.
+    pub fn list(&mut self, now: Duration, after: &str, page: usize) -> Page {
+        let seen = now.saturating_sub(self.config.list_lag.mul_f64(self.rng.random_range(1.0..2.0)));
+        let mut machines = Vec::new();
+        let mut truncated = false;
+        use std::ops::Bound::{Excluded, Unbounded};
+        for (name, r) in self.rentals.range_mut::<str, _>((Excluded(after), Unbounded)) {
+            let gone = r.gone_at.is_some_and(|t| t <= seen);
+            if gone || !(r.listed || r.since <= seen) {
+                continue;
+            }
+            if machines.len() == page {
+                truncated = true;
+                break;
+            }
+            r.listed = true;
+            let phase = match (r.died_at, r.up_at) {
+                (Some(t), _) if t + DEAD_LISTED <= seen => Phase::Failed,
+                (_, Some(t)) if t <= seen => Phase::Running,
+                _ => Phase::Booting,
+            };
+            machines.push(Listed {
+                uid: name.clone(),
+                addr: r.addr.to_string(),
+                build: r.build.clone(),
+                site: r.site.clone(),
+                spot: r.spot,
+                phase,
+                held_s: seen.saturating_sub(r.since).as_secs_f64(),
+            });
+        }
+        Page { machines, truncated }
+    }
+
+    pub fn fault(&mut self, now: Duration, fault: &Fault) {
+        match fault {
+            Fault::Outage(on) => self.outage = *on,
+            Fault::Late { build, factor } => {
+                self.late.retain(|(b, _)| b != build);
+                self.late.push((build.clone(), *factor));
+            }
+            Fault::Cold { build, on: true } => self.cold.push(build.clone()),
+            Fault::Cold { build, on: false } => self.cold.retain(|b| b != build),
+            Fault::Scarce(share) => self.scarce = *share,
+            Fault::Recall { count } => {
+                for name in self.some(*count, |r| r.spot) {
+                    let silent = self.rng.random_bool(self.config.silent_share);
+                    if silent {
+                        self.end(now, &name, "recalled");
+                        continue;
+                    }
+                    let at = now + self.config.notice.mul_f64(self.rng.random_range(0.5..1.5));
+                    if let Some(r) = self.rentals.get_mut(&name) {
+                        r.take_at = Some(at);
+                    }
+                    self.happened.push(Happening::Notice { name, at });
+                }
+            }
+            Fault::Die { count } => {
+                for name in self.some(*count, |_| true) {
+                    if let Some(r) = self.rentals.get_mut(&name) {
+                        r.died_at = Some(now);
+                    }
+                    self.happened.push(Happening::Gone { name, why: "died" });
+                }
+            }
+        }
+    }
+
+    /// Some machines that are up, drawn by luck.
+    fn some(&mut self, count: u32, which: impl Fn(&Rental) -> bool) -> Vec<String> {
+        let fits = |r: &Rental| r.alive() && r.up && r.take_at.is_none() && which(r);
+        let mut names: Vec<String> = self.rentals.iter().filter(|(_, r)| fits(r)).map(|(n, _)| n.clone()).collect();
+        let mut out = Vec::new();
+        while out.len() < count as usize && !names.is_empty() {
+            out.push(names.swap_remove(self.rng.random_range(0..names.len())));
+        }
+        out
+    }
+
+    /// Lets time pass, and tells all that has happened since it was last asked.
+    pub fn advance(&mut self, now: Duration) -> Vec<Happening> {
+        let mut taken = Vec::new();
+        for (name, r) in self.rentals.iter_mut().filter(|(_, r)| r.alive()) {
+            if !r.up && r.up_at.is_some_and(|t| t <= now) {
+                r.up = true;
+                self.happened.push(Happening::Up { name: name.clone() });
+            }
+            if r.take_at.is_some_and(|t| t <= now) {
+                taken.push(name.clone());
+            }
+        }
+        taken.iter().for_each(|name| self.end(now, name, "recalled"));
+        std::mem::take(&mut self.happened)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn s(x: f64) -> Duration {
+        Duration::from_secs_f64(x)
+    }
+
+    fn cloud() -> Cloud {
+        let kind = MachineType {
+            label: "std".into(),
+            cores: 8.0,
+            gpus: 0.0,
+            mem_gb: 32.0,
+            local_gb: 60.0,
+            pull_gb_per_s: 1.0,
+            hourly: 0.4,
+            spot_price: 0.1,
+            startup_s: 10.0,
+            sites: vec!["a".into()],
+        };
+        let capacity = BTreeMap::from([("a".to_string(), (3, 5))]);
+        let offers = vec![Offer { kind, capacity, cold: 0.0 }];
+        Cloud::new(
+            Config { offers, rps: 5.0, list_lag: s(4.0), notice: s(10.0), silent_share: 0.0, worker_port: 9000 },
+            7,
+        )
+    }
+
+    fn ask(charter: &str, number: u32, spot: bool) -> Rent<'_> {
+        Rent { charter: charter.into(), build: "std".into(), site: "a".into(), spot, number }
+    }
+
+    #[test]
+    fn a_charter_rents_once_and_no_more_than_there_is() {
+        let mut c = cloud();
+        let first = c.rent(s(0.0), &ask("r-1", 2, false)).unwrap();
+        assert_eq!(c.rent(s(1.0), &ask("r-1", 2, false)).unwrap(), first);
+        assert_eq!(c.rent(s(1.0), &ask("r-2", 9, false)).unwrap().len(), 1);
+        assert_eq!(c.rent(s(1.0), &ask("r-3", 1, false)), Err(Refusal::NoCapacity));
+        assert_eq!(c.rent(s(1.0), &ask("r-4", 51, true)), Err(Refusal::Malformed));
+        assert_eq!(c.rent(s(1.0), &Rent { build: "x".into(), ..ask("r-5", 1, true) }), Err(Refusal::Malformed));
+        c.release(s(2.0), &Release { machines: vec![first[0].clone(), "nobody".into()].into() }).unwrap();
+        let next = c.rent(s(2.0), &ask("r-3", 1, false)).unwrap();
+        assert!(!first.contains(&next[0]), "names are never used again");
+        c.fault(s(2.0), &Fault::Scarce(0.2));
+        assert_eq!(c.rent(s(2.0), &ask("r-6", 5, true)).unwrap().len(), 1);
+    }
+
+    #[test]
+    fn machines_come_up_late_or_never_and_go_with_notice() {
+        let mut c = cloud();
+        let name = c.rent(s(0.0), &ask("r-1", 1, true)).unwrap().remove(0);
+        assert!(c.advance(s(5.9)).is_empty());
+        assert_eq!(c.advance(s(15.1)), [Happening::Up { name: name.clone() }]);
+        c.fault(s(16.0), &Fault::Recall { count: 3 });
+        assert!(matches!(&c.advance(s(16.0))[..], [Happening::Notice { .. }]));
+        assert_eq!(c.advance(s(31.1)), [Happening::Gone { name, why: "recalled" }]);
+        c.fault(s(32.0), &Fault::Cold { build: None, on: true });
+        c.rent(s(32.0), &ask("r-2", 1, true)).unwrap();
+        assert!(c.advance(s(3600.0)).is_empty());
+    }
+
+    #[test]
+    fn the_list_lags_and_keeps_what_it_has_shown() {
+        let mut c = cloud();
+        let name = c.rent(s(10.0), &ask("r-1", 1, false)).unwrap().remove(0);
+        assert!(c.list(s(13.9), "", 500).machines.is_empty());
+        let shown = (0..50).map(|i| c.list(s(14.0 + 0.1 * f64::from(i)), "", 500).machines.len()).collect::<Vec<_>>();
+        assert!(shown.is_sorted() && shown[49] == 1, "{shown:?}");
+        c.advance(s(30.0));
+        c.release(s(30.0), &Release { machines: vec![name].into() }).unwrap();
+        assert_eq!(c.list(s(33.9), "", 500).machines.len(), 1);
+        assert!(c.list(s(38.1), "", 500).machines.is_empty());
+        assert_eq!(c.admit(s(40.0)), Ok(()));
+        assert_eq!((0..20).filter(|_| c.admit(s(40.0)).is_ok()).count(), 9);
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/http.rs
@@ -0,0 +1,135 @@
+//! HTTP as the emulated services speak it: CBOR bodies of bounded size on
+//! keep-alive connections. What can't be read gets 400 or a closed connection.
+
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1::SendRequest;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+/// What a service answers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reply {
+    pub status: u16,
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    pub fn new(status: u16, body: Vec<u8>) -> Reply {
+        Reply { status, body }
+    }
+
+    pub fn empty(status: u16) -> Reply {
+        Reply { status, body: Vec::new() }
+    }
+}
+
+/// A request whose body was read in whole.
+#[derive(Debug)]
+pub struct Request {
+    pub method: String,
+    /// Path and query, as sent.
+    pub path: String,
+    pub body: Vec<u8>,
+}
+
+/// Longest that a client may take to send the head of a request.
+const HEAD_TIME: Duration = Duration::from_secs(10);
+
+/// Serves a listener until the returned future is dropped, which closes every
+/// connection. `body_limit` in bytes: a longer body gets 400.
+pub async fn serve<H, F>(listener: TcpListener, body_limit: usize, handler: H)
+where
+    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            a = listener.accept() => a,
+            Some(_) = connections.join_next() => continue,
+        };
+        // Out of sockets: those that end make room again.
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let service = service_fn(move |request: hyper::Request<Incoming>| {
+            let handler = handler.clone();
+            async move {
+                let (head, body) = request.into_parts();
+                let reply = match Limited::new(body, body_limit).collect().await {
+                    Ok(body) => {
+                        let path = head.uri.path_and_query().map_or("/", |p| p.as_str()).to_string();
+                        let method = head.method.as_str().to_string();
+                        handler(Request { method, path, body: body.to_bytes().to_vec() }).await
+                    }
+                    Err(_) => Reply::empty(400),
+                };
+                let mut response = hyper::Response::new(Full::new(Bytes::from(reply.body)));
+                *response.status_mut() =
+                    hyper::StatusCode::from_u16(reply.status).unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR);
+                Ok::<_, Infallible>(response)
+            }
+        });
+        connections.spawn(async move {
+            let mut builder = hyper::server::conn::http1::Builder::new();
+            builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIME);
+            // An error here is a client that left or sent nonsense.
+            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+/// One keep-alive connection to a server, dialled when it is needed.
+#[derive(Default)]
+pub struct Connection {
+    open: Option<(SocketAddr, SendRequest<Full<Bytes>>)>,
+}
+
+impl Connection {
+    /// Sends one request and reads its answer; `None` on any failure or after
+    /// `timeout`, and the connection is closed then.
+    pub async fn post(&mut self, to: SocketAddr, path: &str, body: Vec<u8>, timeout: Duration) -> Option<Reply> {
+        let result = tokio::time::timeout(timeout, self.exchange(to, path, body)).await;
+        match result {
+            Ok(Some(reply)) => Some(reply),
+            _ => {
+                self.open = None;
+                None
+            }
+        }
+    }
+
+    pub fn close(&mut self) {
+        self.open = None;
+    }
+
+    async fn exchange(&mut self, to: SocketAddr, path: &str, body: Vec<u8>) -> Option<Reply> {
+        if self.open.as_ref().is_none_or(|(at, sender)| *at != to || sender.is_closed()) {
+            let stream = TcpStream::connect(to).await.ok()?;
+            let _ = stream.set_nodelay(true);
+            let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+            tokio::spawn(connection);
+            self.open = Some((to, sender));
+        }
+        let (_, sender) = self.open.as_mut()?;
+        sender.ready().await.ok()?;
+        let request = hyper::Request::post(path)
+            .header("host", to.to_string())
+            .header("content-type", "application/cbor")
+            .body(Full::new(Bytes::from(body)))
+            .ok()?;
+        let response = sender.send_request(request).await.ok()?;
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), finchquay_protocol::BODY_LIMIT).collect().await.ok()?;
+        Some(Reply { status, body: body.to_bytes().to_vec() })
+    }
+}
