--- /dev/null
+++ b/crates/rehearsal/src/checker.rs
@@ -0,0 +1,511 @@
+//! Judges a history and nothing else: every published rule, and that each
+//! accepted job got exactly one final answer. Times in seconds of the history.
+
+use crate::history::{Asked, Event, Facts, Line};
+use finchquay_protocol::user::{Form, JobSpec, Status};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+/// A poll that fails for so long while others are answered is forgotten.
+const POLL_FAILS_S: f64 = 90.0;
+/// What the recording of a stop may lag behind.
+const SLACK_S: f64 = 0.5;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Rule {
+    RanTwice,
+    Quota,
+    WrongPlace,
+    RanCancelled,
+    Forgotten,
+    Invented,
+    NotDone,
+    WentBack,
+    NothingRan,
+    /// An accepted job that came to no end in the time it had.
+    NoFinalAnswer,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Violation {
+    pub t: f64,
+    pub rule: Rule,
+    pub what: String,
+}
+
+/// What the checker found, and what it counted on the way.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Verdict {
+    pub violations: Vec<Violation>,
+    pub submitted: u64,
+    pub accepted: u64,
+    /// Accepted jobs that are not services.
+    pub finite: u64,
+    pub told_done: u64,
+    pub told_withdrawn: u64,
+    pub starts: u64,
+    pub tasks_done: u64,
+    /// Completions of tasks that had completed before: work done twice, one
+    /// after the other, which no rule forbids.
+    pub done_again: u64,
+    /// Writes that the state service lost, by kind of record.
+    pub lost: BTreeMap<String, u64>,
+    pub settled: bool,
+}
+
+impl Verdict {
+    pub fn holds(&self) -> bool {
+        self.violations.is_empty()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Job {
+    spec: Option<JobSpec>,
+    accepted: Option<f64>,
+    withdraw_asked: bool,
+    told: Option<(Status, f64)>,
+    done: BTreeSet<u32>,
+    /// Where its tasks are: index to machines.
+    on: BTreeMap<u32, BTreeSet<String>>,
+    /// Since when every poll failed.
+    unheard: Option<f64>,
+}
+
+struct Machine {
+    build: String,
+    site: String,
+    spot: bool,
+}
+
+#[derive(Default)]
+struct Checker {
+    facts: Facts,
+    jobs: HashMap<String, Job>,
+    machines: HashMap<String, Machine>,
+    /// CPUs and GPUs in use by team.
+    used: BTreeMap<String, (f64, f64)>,
+    /// Polls of late: when, of which job, whether they were answered.
+    polls: VecDeque<(f64, String, bool)>,
+    verdict: Verdict,
+}
+
+/// Judges a whole history.
+pub fn check(lines: &[Line]) -> Verdict {
+    let mut c = Checker::default();
+    for line in lines {
+        c.line(line);
+    }
+    if c.verdict.starts == 0 {
+        c.break_rule(lines.last().map_or(0.0, |l| l.t), Rule::NothingRan, "no task was started".into());
+    }
+    c.verdict
+}
+
+impl Checker {
+    fn break_rule(&mut self, t: f64, rule: Rule, what: String) {
+        self.verdict.violations.push(Violation { t, rule, what });
+    }
+
+    fn line(&mut self, line: &Line) {
+        let t = line.t;
+        match &line.event {
+            Event::Began { facts, .. } => self.facts = facts.clone(),
+            Event::Job { spec } => {
+                self.verdict.submitted += 1;
+                self.jobs.entry(spec.uid.clone()).or_default().spec = Some(spec.clone());
+            }
+            Event::Call { asked, uid, began_s, status, state, .. } => {
+                self.call(t, *asked, uid, *began_s, *status, *state);
+            }
+            Event::MachineUp { machine, build, site, spot } => {
+                let m = Machine { build: build.clone(), site: site.clone(), spot: *spot };
+                self.machines.insert(machine.clone(), m);
+            }
+            Event::Start { machine, job, index, .. } => self.start(t, machine, job, *index),
+            Event::Stop { machine, job, index, cause, .. } => self.stop(t, machine, job, *index, cause),
+            Event::Store { what, keys } if what == "lost" || what == "tail" => {
+                for key in keys {
+                    *self.verdict.lost.entry(kind(key)).or_default() += 1;
+                }
+            }
+            Event::Over { settled } => self.over(t, *settled),
+            Event::MachineGone { .. }
+            | Event::Controller { .. }
+            | Event::Fault { .. }
+            | Event::Store { .. }
+            | Event::Sample { .. } => {}
+        }
+    }
+
+    fn call(&mut self, t: f64, asked: Asked, uid: &str, began: f64, status: Option<u16>, state: Option<Status>) {
+        if asked == Asked::Poll {
+            self.poll_answered(t, uid, matches!(status, Some(200 | 404)));
+        }
+        let known = self.jobs.get(uid).is_some_and(|j| j.spec.is_some());
+        if !known {
+            if status == Some(200) {
+                self.break_rule(t, Rule::Invented, format!("{uid}: nobody submitted it, and it got 200"));
+            }
+            return;
+        }
+        let job = self.jobs.entry(uid.to_string()).or_default();
+        let before = job.accepted.is_some_and(|a| a <= began);
+        let told = job.told.filter(|(_, at)| *at <= began);
+        if asked == Asked::Withdraw {
+            job.withdraw_asked = true;
+        }
+        match (asked, status) {
+            (Asked::Submit, Some(200 | 201)) if job.accepted.is_none() => {
+                job.accepted = Some(t);
+                self.verdict.accepted += 1;
+                let standing = job.spec.as_ref().is_some_and(|s| s.form == Form::Standing);
+                self.verdict.finite += u64::from(!standing);
+            }
+            (Asked::Submit, Some(s @ (400 | 422))) if before => {
+                self.break_rule(t, Rule::Forgotten, format!("{uid}: accepted, and submitted again it got {s}"));
+            }
+            (Asked::Poll | Asked::Withdraw, Some(404)) if before => {
+                self.break_rule(t, Rule::Forgotten, format!("{uid}: accepted, and got 404"));
+            }
+            _ => {}
+        }
+        let Some(state) = state.filter(|_| matches!(status, Some(200 | 201))) else { return };
+        self.state(t, uid, state, told);
+    }
+
+    /// A state that was told to a user; `told` is the end told before it asked.
+    fn state(&mut self, t: f64, uid: &str, state: Status, told: Option<(Status, f64)>) {
+        let job = self.jobs.entry(uid.to_string()).or_default();
+        if let Some((end, at)) = told
+            && end != state
+        {
+            let what = format!("{uid}: told {end:?} at {at:.2} s, then {state:?}");
+            return self.break_rule(t, Rule::WentBack, what);
+        }
+        if !matches!(state, Status::Done | Status::Withdrawn) {
+            return;
+        }
+        let first = job.told.is_none();
+        let other = job.told.filter(|(s, _)| *s != state);
+        job.told.get_or_insert((state, t));
+        let (asked, finished) = (job.withdraw_asked, job.done.len());
+        let spec = job.spec.as_ref();
+        let tasks = spec.map_or(0, |s| s.parcels as usize);
+        if let Some((end, at)) = other {
+            let what = format!("{uid}: told {end:?} at {at:.2} s and {state:?} too");
+            self.break_rule(t, Rule::WentBack, what);
+        }
+        if !first {
+            return;
+        }
+        match state {
+            Status::Done => {
+                self.verdict.told_done += 1;
+                if finished < tasks {
+                    let what = format!("{uid}: told done with {finished} of {tasks} tasks done");
+                    self.break_rule(t, Rule::NotDone, what);
+                }
+            }
+            _ => {
+                self.verdict.told_withdrawn += 1;
+                if !asked {
+                    let what = format!("{uid}: told withdrawn, which its user did not ask for");
+                    self.break_rule(t, Rule::WentBack, what);
+                }
+            }
+        }
+    }
+
+    /// Tells an accepted job that nobody answers for from a service that
+    /// answers nobody.
+    fn poll_answered(&mut self, t: f64, uid: &str, answered: bool) {
+        while self.polls.pop_front_if(|(at, ..)| *at <= t - POLL_FAILS_S).is_some() {}
+        self.polls.push_back((t, uid.to_string(), answered));
+        let Some(job) = self.jobs.get_mut(uid).filter(|j| j.accepted.is_some()) else { return };
+        if answered {
+            job.unheard = None;
+            return;
+        }
+        let since = *job.unheard.get_or_insert(t);
+        if t - since < POLL_FAILS_S {
+            return;
+        }
+        let others = || self.polls.iter().filter(|(_, u, _)| u != uid);
+        if others().filter(|(.., a)| *a).count() * 2 > others().count() {
+            job.unheard = None;
+            self.break_rule(t, Rule::Forgotten, format!("{uid}: every poll failed since {since:.1} s"));
+        }
+    }
+
+    fn start(&mut self, t: f64, machine: &str, uid: &str, index: u32) {
+        self.verdict.starts += 1;
+        let job = self.jobs.entry(uid.to_string()).or_default();
+        let spec = job.spec.clone();
+        let elsewhere = job.on.get(&index).and_then(|m| m.iter().find(|m| *m != machine)).cloned();
+        let late = job.told.filter(|(s, at)| *s == Status::Withdrawn && t > at + self.facts.cancel_s + SLACK_S);
+        job.on.entry(index).or_default().insert(machine.to_string());
+        let others: Vec<String> =
+            job.on.iter().filter(|(i, _)| **i != index).flat_map(|(_, m)| m.iter().cloned()).collect();
+        if let Some(other) = elsewhere {
+            self.break_rule(t, Rule::RanTwice, format!("{uid}/{index}: starts on {machine} while it is on {other}"));
+        }
+        if let Some((_, at)) = late {
+            let what = format!("{uid}/{index}: starts on {machine}, told withdrawn at {at:.2} s");
+            self.break_rule(t, Rule::RanCancelled, what);
+        }
+        let Some(spec) = spec else {
+            let what = format!("{uid}/{index}: starts on {machine} and nobody submitted it");
+            return self.break_rule(t, Rule::WrongPlace, what);
+        };
+        if let Some(what) = self.misplaced(&spec, machine, &others) {
+            self.break_rule(t, Rule::WrongPlace, format!("{uid}/{index}: {what}"));
+        }
+        let used = self.used.entry(spec.desk.clone()).or_default();
+        *used = (used.0 + spec.cores, used.1 + spec.gpus);
+        let (cpus, gpus) = *used;
+        let (cpus_max, gpus_max) = self.facts.limits.get(&spec.desk).copied().unwrap_or_default();
+        let over = |used: f64, most: f64| most > 0.0 && used > most + 1e-6;
+        if over(cpus, cpus_max) || over(gpus, gpus_max) {
+            let what = format!("{}: uses {cpus} CPUs and {gpus} GPUs of {cpus_max} and {gpus_max}", spec.desk);
+            self.break_rule(t, Rule::Quota, what);
+        }
+    }
+
+    /// Why a task may not start on a machine, given the job's other tasks.
+    fn misplaced(&self, spec: &JobSpec, machine: &str, others: &[String]) -> Option<String> {
+        let Some(m) = self.machines.get(machine) else { return Some(format!("{machine} is not known")) };
+        if spec.builds.as_ref().is_some_and(|b| !b.contains(&m.build)) {
+            return Some(format!("{machine} is of type {}", m.build));
+        }
+        if spec.site.as_ref().is_some_and(|s| *s != m.site) {
+            return Some(format!("{machine} is in zone {}", m.site));
+        }
+        if m.spot && !spec.loaners {
+            return Some(format!("{machine} is a spot machine"));
+        }
+        let sites: Vec<&str> = others.iter().filter_map(|o| self.machines.get(o)).map(|m| m.site.as_str()).collect();
+        if spec.together && sites.iter().any(|s| *s != m.site) {
+            return Some(format!("{machine} is in zone {}, others are elsewhere", m.site));
+        }
+        let here = sites.iter().filter(|s| **s == m.site).count() as u32 + 1;
+        if spec.apart && here > spec.parcels.div_ceil(2) {
+            return Some(format!("{here} of {} tasks are in zone {}", spec.parcels, m.site));
+        }
+        None
+    }
+
+    fn stop(&mut self, t: f64, machine: &str, uid: &str, index: u32, cause: &str) {
+        let job = self.jobs.entry(uid.to_string()).or_default();
+        let was_on = job.on.get_mut(&index).is_some_and(|m| m.remove(machine));
+        job.on.retain(|_, m| !m.is_empty());
+        if cause == "done" {
+            let new = job.done.insert(index);
+            self.verdict.tasks_done += u64::from(new);
+            self.verdict.done_again += u64::from(!new);
+        }
+        let late = job.told.filter(|(s, at)| *s == Status::Withdrawn && t > at + self.facts.cancel_s + SLACK_S);
+        if let (Some(spec), true) = (job.spec.as_ref(), was_on) {
+            let used = self.used.entry(spec.desk.clone()).or_default();
+            *used = (used.0 - spec.cores, used.1 - spec.gpus);
+        }
+        if let Some((_, at)) = late {
+            let what = format!("{uid}/{index}: still on {machine}, told withdrawn at {at:.2} s");
+            self.break_rule(t, Rule::RanCancelled, what);
+        }
+    }
+
+    fn over(&mut self, t: f64, settled: bool) {
+        self.verdict.settled = settled;
+        let mut found = Vec::new();
+        for (uid, job) in &self.jobs {
+            let Some(spec) = job.spec.as_ref().filter(|_| job.accepted.is_some()) else { continue };
+            if let Some((Status::Withdrawn, at)) = job.told
+                && !job.on.is_empty()
+                && t > at + self.facts.cancel_s + SLACK_S
+            {
+                found.push((Rule::RanCancelled, format!("{uid}: tasks are still on machines at the end")));
+            }
+            let finite = spec.form != Form::Standing || job.withdraw_asked;
+            if settled && finite && job.told.is_none() {
+                let what = format!("{uid}: accepted, {} of {} tasks done, no end told", job.done.len(), spec.parcels);
+                found.push((Rule::NoFinalAnswer, what));
+            }
+        }
+        found.sort_by(|a, b| a.1.cmp(&b.1));
+        for (rule, what) in found {
+            self.break_rule(t, rule, what);
+        }
+    }
+}
+
+/// Kind of record that a key of the service holds: its first two parts.
+fn kind(key: &str) -> String {
+    let parts: Vec<&str> = key.split('/').take(2).collect();
+    parts.join("/")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn line(t: f64, event: Event) -> Line {
+        Line { t, event }
+    }
+
+    fn call(t: f64, asked: Asked, uid: &str, status: u16, state: Option<Status>) -> Line {
+        let controller = "c-0".into();
+        let event =
+            Event::Call { asked, uid: uid.into(), controller, began_s: t - 0.1, status: Some(status), state, done: 0 };
+        line(t, event)
+    }
+
+    fn start(t: f64, machine: &str, uid: &str, index: u32) -> Line {
+        line(t, Event::Start { machine: machine.into(), job: uid.into(), index, attempt: 1 })
+    }
+
+    fn stop(t: f64, machine: &str, uid: &str, index: u32, cause: &str) -> Line {
+        let cause = cause.into();
+        line(t, Event::Stop { machine: machine.into(), job: uid.into(), index, attempt: 1, cause })
+    }
+
+    /// A sound history: an array of two that is done, a job withdrawn at 20 s.
+    fn sound() -> Vec<Line> {
+        let facts = Facts {
+            limits: BTreeMap::from([("d".to_string(), (3.0, 0.0))]),
+            cancel_s: 20.0,
+            controllers: BTreeMap::new(),
+        };
+        let up = |t, m: &str, site: &str, spot| {
+            line(t, Event::MachineUp { machine: m.into(), build: "std".into(), site: site.into(), spot })
+        };
+        let mut gang = JobSpec::example("run-2");
+        (gang.together, gang.loaners, gang.parcels) = (true, false, 2);
+        vec![
+            line(0.0, Event::Began { scenario: "s".into(), seed: 1, facts }),
+            up(0.0, "m-0", "a", false),
+            up(0.0, "m-1", "a", true),
+            up(0.0, "m-2", "b", false),
+            line(1.0, Event::Job { spec: JobSpec::example("run-1") }),
+            call(1.2, Asked::Submit, "run-1", 201, Some(Status::Pending)),
+            start(2.0, "m-0", "run-1", 0),
+            start(2.0, "m-1", "run-1", 1),
+            call(3.0, Asked::Poll, "run-1", 200, Some(Status::Running)),
+            stop(4.0, "m-1", "run-1", 1, "vanished"),
+            stop(5.0, "m-0", "run-1", 0, "done"),
+            start(6.0, "m-0", "run-1", 1),
+            stop(8.0, "m-0", "run-1", 1, "done"),
+            call(9.0, Asked::Poll, "run-1", 200, Some(Status::Done)),
+            call(9.5, Asked::Poll, "run-77", 404, None),
+            line(10.0, Event::Job { spec: gang }),
+            call(10.2, Asked::Submit, "run-2", 201, Some(Status::Pending)),
+            start(11.0, "m-0", "run-2", 0),
+            call(20.0, Asked::Withdraw, "run-2", 200, Some(Status::Withdrawn)),
+            stop(25.0, "m-0", "run-2", 0, "stopped"),
+            line(60.0, Event::Over { settled: true }),
+        ]
+    }
+
+    fn with(at: usize, extra: Vec<Line>) -> Vec<Rule> {
+        let mut lines = sound();
+        lines.splice(at..at, extra);
+        check(&lines).violations.into_iter().map(|v| v.rule).collect()
+    }
+
+    #[test]
+    fn a_sound_history_passes_and_is_counted() {
+        let v = check(&sound());
+        assert_eq!(v.violations, []);
+        let counts = (v.submitted, v.accepted, v.finite, v.told_done, v.told_withdrawn, v.starts, v.tasks_done);
+        assert_eq!(counts, (2, 2, 2, 1, 1, 4, 2));
+    }
+
+    /// One violation of each rule, planted into the sound history.
+    #[test]
+    fn every_planted_violation_is_found() {
+        assert_eq!(
+            with(8, vec![start(2.5, "m-2", "run-1", 0), stop(2.6, "m-2", "run-1", 0, "stopped")]),
+            [Rule::RanTwice]
+        );
+        let crowd: Vec<Line> = (2..4).map(|i| start(2.5, "m-0", "run-1", i)).collect();
+        let crowd: Vec<Line> = crowd.into_iter().chain((2..4).map(|i| stop(2.6, "m-0", "run-1", i, "x"))).collect();
+        assert_eq!(with(8, crowd), [Rule::Quota]);
+        assert_eq!(
+            with(18, vec![start(12.0, "m-1", "run-2", 1), stop(12.1, "m-1", "run-2", 1, "x")]),
+            [Rule::WrongPlace]
+        );
+        assert_eq!(
+            with(18, vec![start(12.0, "m-2", "run-2", 1), stop(12.1, "m-2", "run-2", 1, "x")]),
+            [Rule::WrongPlace]
+        );
+        assert_eq!(with(20, vec![start(41.0, "m-0", "run-2", 1), stop(41.2, "m-0", "run-2", 1, "x")]).len(), 2);
+        let left_on = with(20, vec![start(30.0, "m-0", "run-2", 0)]);
+        assert_eq!(left_on, [Rule::RanCancelled]);
+        assert_eq!(with(9, vec![call(3.5, Asked::Poll, "run-1", 404, None)]), [Rule::Forgotten]);
+        assert_eq!(with(9, vec![call(3.5, Asked::Submit, "run-1", 422, None)]), [Rule::Forgotten]);
+        assert_eq!(with(9, vec![call(3.5, Asked::Poll, "run-9", 200, Some(Status::Pending))]), [Rule::Invented]);
+        assert_eq!(with(11, vec![call(5.5, Asked::Poll, "run-1", 200, Some(Status::Done))]), [Rule::NotDone]);
+        let back = vec![call(9.4, Asked::Poll, "run-1", 200, Some(Status::Running))];
+        assert_eq!(with(14, back), [Rule::WentBack]);
+        let unasked = vec![call(5.5, Asked::Poll, "run-1", 200, Some(Status::Withdrawn))];
+        assert!(with(11, unasked).contains(&Rule::WentBack));
+        let mut idle = sound();
+        idle.retain(|l| !matches!(l.event, Event::Start { .. } | Event::Stop { .. } | Event::Call { .. }));
+        assert_eq!(check(&idle).violations[0].rule, Rule::NothingRan);
+        let mut endless = sound();
+        endless.remove(13);
+        assert_eq!(check(&endless).violations[0].rule, Rule::NoFinalAnswer);
+        endless.pop();
+        endless.push(line(60.0, Event::Over { settled: false }));
+        assert!(check(&endless).holds(), "a history cut short says nothing of jobs that go on");
+    }
+
+    /// An answer that was under way when the end was told is not older news.
+    #[test]
+    fn overlapping_answers_are_no_violation() {
+        let mut late = call(9.05, Asked::Poll, "run-1", 200, Some(Status::Running));
+        if let Event::Call { began_s, .. } = &mut late.event {
+            *began_s = 8.5;
+        }
+        assert_eq!(with(14, vec![late]), []);
+    }
+
+    #[test]
+    fn a_job_that_nobody_answers_for_is_forgotten_while_others_are_answered() {
+        let failed = |t: f64, uid: &str, status| {
+            let controller = String::new();
+            let event = Event::Call {
+                asked: Asked::Poll,
+                uid: uid.into(),
+                controller,
+                began_s: t,
+                status,
+                state: None,
+                done: 0,
+            };
+            line(t, event)
+        };
+        let polls = |others: Option<u16>| {
+            let pair = |i: i32| {
+                [failed(9.0 + f64::from(i) * 5.0, "run-1", None), failed(9.1 + f64::from(i) * 5.0, "run-78", others)]
+            };
+            let mut lines: Vec<Line> = sound().into_iter().take(8).collect();
+            lines.extend((0..20).flat_map(pair).chain([failed(110.0, "run-79", others)]));
+            lines.extend([failed(110.0, "run-1", None)]);
+            check(&lines).violations.len()
+        };
+        assert_eq!((polls(Some(404)), polls(None)), (1, 0));
+    }
+
+    #[test]
+    fn lost_writes_are_counted_by_kind_of_record() {
+        let store = |what: &str, keys: &[&str]| {
+            line(3.0, Event::Store { what: what.into(), keys: keys.iter().map(|k| (*k).to_string()).collect() })
+        };
+        let mut lines = sound();
+        lines.splice(8..8, [store("lost", &["fq/j/run-1", "fq/t/run-1/0"]), store("late", &["fq/j/run-1"])]);
+        let lost = check(&lines).lost;
+        assert_eq!(lost, BTreeMap::from([("fq/j".to_string(), 1), ("fq/t".to_string(), 1)]));
+    }
+}
