finchquay-rehearsal: a whole cluster on one machine

Started by hand finchquay answered 503 for ever, since a state service, a cloud and workers existed nowhere. One program now emulates all three in CBOR on loopback, starts real controllers as child processes, plays load and faults from a scenario, writes a history and judges it.

--- a/crates/rehearsal/src/cloud/machine.rs
+++ b/crates/rehearsal/src/cloud/machine.rs
@@ -124,13 +124,14 @@
 }
 
 impl Cloud {
-    pub fn new(config: Config, seed: u64) -> Cloud {
+    /// `rented`: machines that were rented before, whose names are taken.
+    pub fn new(config: Config, seed: u64, rented: u32) -> Cloud {
         Cloud {
             bucket: Bucket::new(config.rps, 2.0),
             config,
             rentals: BTreeMap::new(),
             charters: HashMap::new(),
-            rented: 0,
+            rented,
             rng: StdRng::seed_from_u64(seed),
             outage: false,
             late: Vec::new(),
@@ -380,6 +381,7 @@
         Cloud::new(
             Config { offers, rps: 5.0, list_lag: s(4.0), notice: s(10.0), silent_share: 0.0, worker_port: 9000 },
             7,
+            0,
         )
     }
 
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -5,8 +5,14 @@
 pub mod bucket;
 pub mod checker;
 pub mod cloud;
+pub mod cluster;
 pub mod history;
 pub mod http;
+pub mod load;
 pub mod machine;
+pub mod report;
+pub mod run;
 pub mod scenario;
 pub mod state;
+pub mod suite;
+pub mod view;
--- a/crates/rehearsal/src/machine/fleet.rs
+++ b/crates/rehearsal/src/machine/fleet.rs
@@ -65,6 +65,11 @@
         self.shared.jobs.insert(desc.spec.uid.clone(), Arc::new(desc));
     }
 
+    /// A task that completed in an earlier run: its result is kept.
+    pub fn finished(&mut self, job: &str, index: u32) {
+        self.shared.done.insert(TaskId { job: job.into(), index });
+    }
+
     pub fn boot(&mut self, traits: Traits, now: Duration) {
         let name = traits.name.clone();
         self.workers.insert(name.clone(), Worker::new(traits, now));
--- a/crates/rehearsal/src/machine/worker.rs
+++ b/crates/rehearsal/src/machine/worker.rs
@@ -72,6 +72,8 @@
     on: bool,
     /// Work left at `since`, in seconds at ordinary speed.
     left_s: f64,
+    /// Speed of the machine when it started to run.
+    speed: f64,
     since: Duration,
     /// When it leaves its state by itself.
     until: Option<Duration>,
@@ -138,6 +140,11 @@
         }
     }
 
+    /// Tasks that start from now on run so many times as fast.
+    pub fn slow_down(&mut self, factor: f64) {
+        self.traits.speed *= factor;
+    }
+
     pub fn hangs(&self) -> bool {
         self.hung_since.is_some()
     }
@@ -243,6 +250,7 @@
                     t.state = TaskState::Running;
                     let saved = shared.saved.get(&key.0).copied().unwrap_or(0.0);
                     t.left_s = (t.desc.total_s(key.0.index) - saved).max(0.0);
+                    t.speed = speed;
                     let run = t.left_s / speed;
                     t.until = (run.is_finite()).then(|| now + Duration::from_secs_f64(run));
                 }
@@ -264,12 +272,11 @@
 
     /// Ends a task; it stays in the reports until it is forgotten.
     pub fn exit(&mut self, now: Duration, key: &(TaskId, u64), cause: Cause, kept: Option<bool>, shared: &mut Shared) {
-        let speed = self.traits.speed;
         let Some(t) = self.tasks.get_mut(key).filter(|t| t.state != TaskState::Exited) else { return };
         if cause == Cause::Done {
             shared.done.insert(key.0.clone());
         } else if kept.is_none() && t.state == TaskState::Running && !t.gang() {
-            checkpoint(t, now, speed, shared);
+            checkpoint(t, now, shared);
         }
         let name = name(cause);
         (t.state, t.cause, t.kept, t.until) = (TaskState::Exited, Some(cause), kept, None);
@@ -287,10 +294,9 @@
 
     /// Every task is gone at once, unreported: the lease lapsed or the machine vanished.
     pub fn drop_all(&mut self, now: Duration, cause: &'static str, shared: &mut Shared) {
-        let speed = self.traits.speed;
         for ((task, attempt), t) in std::mem::take(&mut self.tasks) {
             if t.state == TaskState::Running && !t.gang() && !self.hangs() {
-                checkpoint(&t, now, speed, shared);
+                checkpoint(&t, now, shared);
             }
             if t.gang() && matches!(t.state, TaskState::Gathering | TaskState::Running | TaskState::Saving) {
                 self.out.push(Happening::Leaves { task: task.clone(), attempt });
@@ -426,8 +432,18 @@
             self.images.want(&desc.spec.bundle, desc.spec.size_gb);
         }
         let state = if refused.is_some() { TaskState::Exited } else { TaskState::Fetching };
-        let task =
-            Task { id, desc, state, cause: refused, kept: None, on: false, left_s: 0.0, since: now, until: None };
+        let task = Task {
+            id,
+            desc,
+            state,
+            cause: refused,
+            kept: None,
+            on: false,
+            left_s: 0.0,
+            speed: 1.0,
+            since: now,
+            until: None,
+        };
         self.tasks.insert(key.clone(), task);
         if refused.is_none() {
             self.turn(now, &key, shared);
@@ -437,12 +453,11 @@
     fn kill(&mut self, now: Duration, parcel: &str, attempt: u64, wind_down_s: f64, shared: &mut Shared) {
         let Some(id) = TaskId::parse(parcel) else { return };
         let key = (id, attempt);
-        let speed = self.traits.speed;
         let Some(t) = self.tasks.get_mut(&key).filter(|t| t.state != TaskState::Exited) else { return };
         let saves = t.desc.spec.saves_in().is_some_and(|s| wind_down_s >= s);
         match t.state {
             TaskState::Running if saves && !self.sick => {
-                t.left_s -= now.saturating_sub(t.since).as_secs_f64() * speed;
+                t.left_s -= now.saturating_sub(t.since).as_secs_f64() * t.speed;
                 t.since = now;
                 t.state = TaskState::Saving;
                 self.changed = true;
@@ -466,11 +481,11 @@
 }
 
 /// Keeps the progress of the last checkpoint that the task made by itself.
-fn checkpoint(t: &Task, now: Duration, speed: f64, shared: &mut Shared) {
+fn checkpoint(t: &Task, now: Duration, shared: &mut Shared) {
     let every = t.desc.spec.stamp_every_s;
     let total = t.desc.total_s(t.id.index);
     if every > 0.0 && total.is_finite() && t.left_s.is_finite() {
-        let progress = total - t.left_s + now.saturating_sub(t.since).as_secs_f64() * speed;
+        let progress = total - t.left_s + now.saturating_sub(t.since).as_secs_f64() * t.speed;
         shared.save(&t.id, (progress / every).floor() * every);
     }
 }
--- a/crates/rehearsal/src/state/mod.rs
+++ b/crates/rehearsal/src/state/mod.rs
@@ -4,4 +4,5 @@
 
 pub mod log;
 pub mod machine;
+pub mod probe;
 pub mod service;
--- /dev/null
+++ b/crates/rehearsal/src/view.rs
@@ -0,0 +1,248 @@
+//! What a person sees while a rehearsal plays: a terminal view, or plain lines
+//! where there is no terminal. Fed by the history's lines and nothing else.
+
+use crate::history::{Asked, Event, Line};
+use finchquay_protocol::user::Status;
+use ratatui::Frame;
+use ratatui::layout::{Constraint, Layout};
+use ratatui::style::{Color, Style, Stylize};
+use ratatui::text::Line as TextLine;
+use ratatui::widgets::{Block, Paragraph, Row, Sparkline, Table};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+/// Seconds that the curve of running tasks shows.
+const CURVE: usize = 120;
+/// Lines of news that are kept.
+const NEWS: usize = 200;
+
+/// Where a job stands, as its user knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Stage {
+    Submitted,
+    Accepted,
+    Running,
+    Done,
+    Withdrawn,
+}
+
+const STAGES: [(Stage, &str); 5] = [
+    (Stage::Submitted, "submitted"),
+    (Stage::Accepted, "waiting"),
+    (Stage::Running, "running"),
+    (Stage::Done, "done"),
+    (Stage::Withdrawn, "withdrawn"),
+];
+
+/// All that the view shows.
+#[derive(Debug, Default)]
+pub struct Model {
+    t: f64,
+    scenario: String,
+    /// Address, state, memory and processor time.
+    controllers: BTreeMap<String, (String, String, f64, f64)>,
+    machines: (u32, u32),
+    running: u32,
+    spent: f64,
+    changes: (u64, f64),
+    jobs: HashMap<String, (String, Stage)>,
+    faults: BTreeSet<String>,
+    curve: VecDeque<u64>,
+    news: VecDeque<String>,
+    starts: u64,
+    done: u64,
+}
+
+impl Model {
+    /// Takes one line of the history; returns news worth a plain line.
+    pub fn take(&mut self, line: &Line) -> Option<String> {
+        let before = self.t;
+        self.t = line.t;
+        let news = match &line.event {
+            Event::Began { scenario, facts, .. } => {
+                self.scenario = scenario.clone();
+                for (name, address) in &facts.controllers {
+                    self.controllers.entry(name.clone()).or_default().0 = address.clone();
+                }
+                Some(format!("{scenario} begins"))
+            }
+            Event::Controller { controller, what } => {
+                self.controllers.entry(controller.clone()).or_default().1 = what.clone();
+                Some(format!("{controller} {what}"))
+            }
+            Event::Fault { name, on } => {
+                if *on {
+                    self.faults.insert(name.clone());
+                } else {
+                    self.faults.remove(name);
+                }
+                Some(format!("fault {name} {}", if *on { "begins" } else { "ends" }))
+            }
+            Event::Store { what, keys } => {
+                let (first, more) = (keys.first().cloned().unwrap_or_default(), keys.len().saturating_sub(1));
+                Some(format!("state service: write {what}: {first} and {more} more"))
+            }
+            Event::Job { spec } => {
+                self.jobs.insert(spec.uid.clone(), (spec.docket.clone(), Stage::Submitted));
+                None
+            }
+            Event::Call { asked, uid, status, state, .. } => {
+                self.call(*asked, uid, *status, *state);
+                None
+            }
+            Event::Start { .. } => {
+                self.starts += 1;
+                None
+            }
+            Event::Stop { cause, .. } => {
+                self.done += u64::from(cause == "done");
+                None
+            }
+            Event::Sample {
+                machines_up, machines_booting, tasks_running, store_changes, spent, controllers, ..
+            } => {
+                self.machines = (*machines_up, *machines_booting);
+                self.running = *tasks_running;
+                self.spent = *spent;
+                let passed = (line.t - before).max(0.5);
+                self.changes = (*store_changes, store_changes.saturating_sub(self.changes.0) as f64 / passed.max(1.0));
+                for (name, (mb, cpu)) in controllers {
+                    let c = self.controllers.entry(name.clone()).or_default();
+                    (c.2, c.3) = (*mb, *cpu);
+                }
+                self.curve.push_back(u64::from(*tasks_running));
+                if self.curve.len() > CURVE {
+                    self.curve.pop_front();
+                }
+                None
+            }
+            Event::MachineGone { machine, why } if why == "died" || why == "recalled" => {
+                Some(format!("{machine} {why}"))
+            }
+            Event::MachineUp { .. } | Event::MachineGone { .. } => None,
+            Event::Over { settled } => Some(if *settled { "over".into() } else { "stopped".into() }),
+        };
+        let news = news.map(|n| format!("{:7.1} s  {n}", line.t));
+        if let Some(n) = &news {
+            self.news.push_front(n.clone());
+            self.news.truncate(NEWS);
+        }
+        news
+    }
+
+    fn call(&mut self, asked: Asked, uid: &str, status: Option<u16>, state: Option<Status>) {
+        let Some((_, stage)) = self.jobs.get_mut(uid) else { return };
+        let to = match (state, asked, status) {
+            (Some(Status::Done), ..) => Stage::Done,
+            (Some(Status::Withdrawn), ..) => Stage::Withdrawn,
+            (Some(Status::Running), ..) => Stage::Running,
+            (_, Asked::Submit, Some(200 | 201)) | (Some(Status::Pending), ..) => Stage::Accepted,
+            _ => return,
+        };
+        // A job may wait again after it ran; an end stays.
+        if *stage < Stage::Done {
+            *stage = to;
+        }
+    }
+
+    /// One line that sums it all up, for where there is no terminal.
+    pub fn summary(&self) -> String {
+        let counts: Vec<String> = STAGES
+            .iter()
+            .map(|(stage, name)| format!("{} {name}", self.jobs.values().filter(|(_, s)| s == stage).count()))
+            .collect();
+        format!(
+            "{:7.1} s  machines {} up, {} booting; tasks {} running, {} done; jobs {}; {:.0} changes/s",
+            self.t,
+            self.machines.0,
+            self.machines.1,
+            self.running,
+            self.done,
+            counts.join(", "),
+            self.changes.1
+        )
+    }
+
+    pub fn draw(&self, frame: &mut Frame) {
+        let controllers = self.controllers.len() as u16 + 3;
+        let classes: BTreeSet<&String> = self.jobs.values().map(|(c, _)| c).collect();
+        let [head, middle, jobs, curve, news] = Layout::vertical([
+            Constraint::Length(1),
+            Constraint::Length(controllers),
+            Constraint::Length(classes.len() as u16 + 3),
+            Constraint::Length(6),
+            Constraint::Min(3),
+        ])
+        .areas(frame.area());
+        let title = format!("finchquay rehearsal: {}  {:.0} s  (Ctrl-C or q ends it)", self.scenario, self.t);
+        frame.render_widget(TextLine::from(title).bold(), head);
+        let [left, right] = Layout::horizontal([Constraint::Percentage(60), Constraint::Percentage(40)]).areas(middle);
+        let rows = self.controllers.iter().map(|(name, (address, state, mb, cpu))| {
+            let style = if state == "started" { Style::new() } else { Style::new().fg(Color::Red) };
+            Row::new([name.clone(), address.clone(), state.clone(), format!("{mb:.1} MB"), format!("{cpu:.1} s")])
+                .style(style)
+        });
+        let widths = [10, 18, 9, 10, 8].map(Constraint::Length);
+        let header = Row::new(["controller", "users at", "state", "memory", "cpu"]).bold();
+        frame
+            .render_widget(Table::new(rows, widths).header(header).block(Block::bordered().title("controllers")), left);
+        let faults: Vec<&str> = self.faults.iter().map(String::as_str).collect();
+        let world = vec![
+            TextLine::from(format!("machines {} up, {} booting", self.machines.0, self.machines.1)),
+            TextLine::from(format!("tasks {} running, {} done, {} starts", self.running, self.done, self.starts)),
+            TextLine::from(format!("state {:.0} changes/s   spent {:.3}", self.changes.1, self.spent)),
+            TextLine::from(format!("faults {}", if faults.is_empty() { "none".into() } else { faults.join(", ") }))
+                .style(if faults.is_empty() { Style::new() } else { Style::new().fg(Color::Red) }),
+        ];
+        frame.render_widget(Paragraph::new(world).block(Block::bordered().title("around them")), right);
+        let rows = classes.iter().map(|class| {
+            let count = |stage| self.jobs.values().filter(|(c, s)| c == *class && *s == stage).count().to_string();
+            Row::new([(*class).clone()].into_iter().chain(STAGES.iter().map(|(s, _)| count(*s))))
+        });
+        let widths = [24, 10, 10, 10, 10, 10].map(Constraint::Length);
+        let header = Row::new(["class"].into_iter().chain(STAGES.iter().map(|(_, n)| *n))).bold();
+        frame.render_widget(Table::new(rows, widths).header(header).block(Block::bordered().title("jobs")), jobs);
+        let data: Vec<u64> = self.curve.iter().copied().collect();
+        let spark = Sparkline::default().data(&data).block(Block::bordered().title("tasks running"));
+        frame.render_widget(spark, curve);
+        let lines: Vec<TextLine> = self.news.iter().map(|n| TextLine::from(n.as_str())).collect();
+        frame.render_widget(Paragraph::new(lines).block(Block::bordered().title("news")), news);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use finchquay_protocol::user::JobSpec;
+    use ratatui::Terminal;
+    use ratatui::backend::TestBackend;
+
+    #[test]
+    fn the_screen_tells_what_the_history_told() {
+        let mut m = Model::default();
+        let call = |state| Event::Call {
+            asked: Asked::Poll,
+            uid: "run-1".into(),
+            controller: "perch-0".into(),
+            began_s: 0.0,
+            status: Some(200),
+            state: Some(state),
+            done: 0,
+        };
+        let events = [
+            Event::Controller { controller: "perch-0".into(), what: "started".into() },
+            Event::Fault { name: "store-away".into(), on: true },
+            Event::Job { spec: JobSpec::example("run-1") },
+            call(Status::Done),
+            call(Status::Running),
+        ];
+        let news: Vec<String> = events.into_iter().filter_map(|event| m.take(&Line { t: 12.0, event })).collect();
+        assert_eq!(news.len(), 2);
+        assert!(m.summary().contains("1 done") && m.summary().contains("0 running"));
+        let mut terminal = Terminal::new(TestBackend::new(100, 30)).unwrap();
+        terminal.draw(|f| m.draw(f)).unwrap();
+        let screen = terminal.backend().to_string();
+        for part in ["perch-0", "store-away", "withdrawn", "tasks running", "fault store-away begins"] {
+            assert!(screen.contains(part), "{part} is missing from\n{screen}");
+        }
+    }
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -483,7 +483,7 @@
         };
         self.beats = self.beats.wrapping_add(1);
         for (n, name) in self.view.hosts.keys().enumerate() {
-            if (n + self.beats) % BEATS_PER_ROUND == 0
+            if (n + self.beats).is_multiple_of(BEATS_PER_ROUND)
                 && let Some(images) = self.held_images(name).filter(|i| !i.is_empty())
             {
                 beat.note_images(name, images.iter());
