--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -191,7 +191,7 @@
         loop {
             let last = match self.once(Operation::Poll, uid, None).await {
                 Ok(a) => match poll_verdict(&a) {
-                    Verdict::Final(Ok(s)) if matches!(s.status, Status::Done | Status::Withdrawn) => return Ok(s),
+                    Verdict::Final(Ok(s)) if ended(s.status) => return Ok(s),
                     Verdict::Final(Ok(s)) => Some(s),
                     Verdict::Final(Err(e)) => return Err(e),
                     Verdict::Again => None,
@@ -200,10 +200,12 @@
             };
             let pause = self.inner.times.poll_every.mul_f64(rand::random_range(0.9..1.1));
             if end.is_some_and(|e| Instant::now() + pause > e) {
-                return match last {
-                    Some(s) => Err(ClientError::Unfinished(s)),
-                    None => self.status(uid).await,
+                // Where the last poll failed, one answer is still owed.
+                let state = match last {
+                    Some(s) => s,
+                    None => self.status(uid).await?,
                 };
+                return if ended(state.status) { Ok(state) } else { Err(ClientError::Unfinished(state)) };
             }
             tokio::time::sleep(pause).await;
         }
@@ -214,7 +216,7 @@
     pub async fn withdraw(&self, uid: &str) -> Result<JobState<'static>, ClientError> {
         check(uid)?;
         self.insist(Operation::Withdraw, uid, Some(Vec::new()), |a| match (a.status, a.state()) {
-            (200, Some(s)) if matches!(s.status, Status::Done | Status::Withdrawn) => Verdict::Final(Ok(s)),
+            (200, Some(s)) if ended(s.status) => Verdict::Final(Ok(s)),
             (404, _) => Verdict::Final(Err(ClientError::NotFound)),
             (400, _) => Verdict::Final(Err(ClientError::Refused { status: 400, what: a.what() })),
             _ => Verdict::Again,
@@ -330,6 +332,10 @@
     }
 }
 
+fn ended(status: Status) -> bool {
+    matches!(status, Status::Done | Status::Withdrawn)
+}
+
 fn check(uid: &str) -> Result<(), ClientError> {
     if valid_uid(uid) { Ok(()) } else { Err(ClientError::BadUid(uid.into())) }
 }
--- a/crates/client/tests/scripted.rs
+++ b/crates/client/tests/scripted.rs
@@ -115,3 +115,13 @@
     let (client, _) = quick(scripted(vec![response(404, "", b"")]).await, 5.0);
     assert!(matches!(client.wait("run-1", None).await, Err(ClientError::NotFound)));
 }
+
+/// A poll that failed just before the limit once made `wait` return a job that
+/// still ran as if it had ended; found by a rehearsal that killed the store.
+#[tokio::test]
+async fn a_failed_last_poll_is_no_end() {
+    let script = vec![response(503, "", b""), response(200, "", &state(Status::Running))];
+    let (client, _) = quick(scripted(script).await, 5.0);
+    let got = client.wait("run-1", Some(Duration::from_millis(1))).await;
+    assert!(matches!(&got, Err(ClientError::Unfinished(s)) if s.status == Status::Running), "{got:?}");
+}
--- a/crates/rehearsal/src/http.rs
+++ b/crates/rehearsal/src/http.rs
@@ -98,7 +98,19 @@
     /// Sends one request and reads its answer; `None` on any failure or after
     /// `timeout`, and the connection is closed then.
     pub async fn post(&mut self, to: SocketAddr, path: &str, body: Vec<u8>, timeout: Duration) -> Option<Reply> {
-        let result = tokio::time::timeout(timeout, self.exchange(to, path, body)).await;
+        self.send(to, "POST", path, body, timeout).await
+    }
+
+    /// Like `post`, with any method.
+    pub async fn send(
+        &mut self,
+        to: SocketAddr,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Option<Reply> {
+        let result = tokio::time::timeout(timeout, self.exchange(to, method, path, body)).await;
         match result {
             Ok(Some(reply)) => Some(reply),
             _ => {
@@ -112,7 +124,7 @@
         self.open = None;
     }
 
-    async fn exchange(&mut self, to: SocketAddr, path: &str, body: Vec<u8>) -> Option<Reply> {
+    async fn exchange(&mut self, to: SocketAddr, method: &str, path: &str, body: Vec<u8>) -> Option<Reply> {
         if self.open.as_ref().is_none_or(|(at, sender)| *at != to || sender.is_closed()) {
             let stream = TcpStream::connect(to).await.ok()?;
             let _ = stream.set_nodelay(true);
@@ -122,7 +134,9 @@
         }
         let (_, sender) = self.open.as_mut()?;
         sender.ready().await.ok()?;
-        let request = hyper::Request::post(path)
+        let request = hyper::Request::builder()
+            .method(method)
+            .uri(path)
             .header("host", to.to_string())
             .header("content-type", "application/cbor")
             .body(Full::new(Bytes::from(body)))
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod checker;
 pub mod cloud;
 pub mod cluster;
+pub mod front;
 pub mod history;
 pub mod http;
 pub mod load;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -57,7 +57,7 @@
         /// Keep the state here; a later `up` on it goes on.
         #[arg(long, value_name = "DIR")]
         keep: Option<PathBuf>,
-        /// Port of the controllers for users; 0 takes free ones.
+        /// Port for users: of the way in at 127.0.0.1, and of each controller.
         #[arg(long, default_value_t = 8080)]
         port: u16,
         /// Plain lines even where there is a terminal.
@@ -168,7 +168,7 @@
             let dir = out.unwrap_or_else(|| PathBuf::from(format!("rehearsal-{}", s.name)));
             let model = Arc::new(Mutex::new(Model::default()));
             let watcher = plain_watcher(model);
-            let options = options(s, &common, dir.clone(), 0, Some(watcher))?;
+            let options = options(s, &common, dir.clone(), None, Some(watcher))?;
             let outcome = run::play(options, ended()).await?;
             let report = leave(&dir, &outcome)?;
             print!("{}", report::text(&report));
@@ -241,7 +241,7 @@
     scenario: Scenario,
     common: &Common,
     dir: PathBuf,
-    public_port: u16,
+    front: Option<SocketAddr>,
     watcher: Option<Watcher>,
 ) -> Result<Options, MainError> {
     let controller = match &common.controller {
@@ -254,7 +254,8 @@
         return Err(MainError::Run(RunError::Cluster(ClusterError::NoBinary(controller))));
     }
     let seed = common.seed.unwrap_or(scenario.seed);
-    Ok(Options { scenario, seed, dir, controller, public_port, watcher })
+    let public_port = front.map_or(0, |f| f.port());
+    Ok(Options { scenario, seed, dir, controller, public_port, front, watcher })
 }
 
 /// Prints news as they come, and a summary now and then.
@@ -301,7 +302,8 @@
     } else {
         plain_watcher(model.clone())
     };
-    let options = options(s, &common, dir.clone(), port, Some(watcher))?;
+    let front = SocketAddr::from(([127, 0, 0, 1], port));
+    let options = options(s, &common, dir.clone(), Some(front), Some(watcher))?;
     let quit = Arc::new(Notify::new());
     let closed = Arc::new(AtomicBool::new(false));
     let drawing = screen.then(|| {
@@ -392,7 +394,7 @@
             let dir = out.join(name);
             // A suite begins anew each time.
             let _ = std::fs::remove_dir_all(&dir);
-            let options = options(Scenario::parse(name, text)?, &common, dir.clone(), 0, None)?;
+            let options = options(Scenario::parse(name, text)?, &common, dir.clone(), None, None)?;
             running.spawn(async move {
                 let outcome = run::play(options, ended()).await?;
                 Ok::<_, RunError>((name, expect, dir, outcome))
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -4,6 +4,7 @@
 use crate::cloud::machine::{Cloud, Config as CloudConfig, Fault as CloudFault, Happening, Offer};
 use crate::cloud::service;
 use crate::cluster::{Cluster, ClusterError, bind};
+use crate::front::Front;
 use crate::history::{self, Event, Facts, HistoryError, Line, Recorder, Watcher};
 use crate::http;
 use crate::load;
@@ -57,6 +58,8 @@
     pub controller: PathBuf,
     /// Port of the controllers for users; 0: free ones.
     pub public_port: u16,
+    /// Where users beside the load come in, if they do.
+    pub front: Option<SocketAddr>,
     pub watcher: Option<Watcher>,
 }
 
@@ -98,6 +101,10 @@
     let history = dir.join(format!("history-{}.jsonl", earlier.session));
     let recorder = Recorder::create(&history, options.watcher)?;
     let scenario = options.scenario;
+    let front = match options.front {
+        Some(address) => Some(bind(address).await?),
+        None => None,
+    };
     let (cluster, sockets) =
         Cluster::start(&scenario, &options.controller, dir, options.public_port, &recorder).await?;
     let places: Vec<(String, SocketAddr)> = cluster.places.iter().map(|p| (p.member.clone(), p.public)).collect();
@@ -137,6 +144,9 @@
     for (name, fault) in faults {
         background.spawn(world.clone().fault(name, fault));
     }
+    if let Some(listener) = front {
+        background.spawn(Front::new(places.clone(), driver.clone(), recorder.clone()).serve(listener));
+    }
     let client = load::client(&places, &recorder)?;
     let mut users = load::play(jobs, &client, &driver, &recorder, user_seed);
     for (uid, withdraw) in earlier.open {
--- a/crates/rehearsal/src/state/log.rs
+++ b/crates/rehearsal/src/state/log.rs
@@ -4,8 +4,11 @@
 
 use super::machine::{Change, Entry, Limits, Store};
 use finchquay_protocol::{decode, encode};
-use redb::{Database, Durability, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::backends::FileBackend;
+use redb::{Database, ReadableDatabase, ReadableTable, StorageBackend, TableDefinition};
 use std::collections::BTreeMap;
+use std::fs::OpenOptions;
+use std::io;
 use std::path::Path;
 use std::time::Duration;
 use thiserror::Error;
@@ -42,22 +45,58 @@
     pub next_lease: u64,
 }
 
+/// A file whose writes are handed to the system and not forced to disk: they
+/// survive a kill of this process, not one of the machine.
+#[derive(Debug)]
+struct Unforced(FileBackend);
+
+impl StorageBackend for Unforced {
+    fn len(&self) -> io::Result<u64> {
+        self.0.len()
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> io::Result<()> {
+        self.0.read(offset, out)
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.0.set_len(len)
+    }
+
+    fn sync_data(&self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.0.write(offset, data)
+    }
+
+    fn close(&self) -> io::Result<()> {
+        self.0.close()
+    }
+}
+
 pub struct Log {
     db: Database,
-    durability: Durability,
 }
 
 impl Log {
     /// Opens or creates the log. Without `fsync` a write survives the
     /// service's own kill, not one of the machine.
     pub fn open(path: &Path, fsync: bool) -> Result<Log, LogError> {
-        let db = Database::create(path)?;
+        let db = if fsync {
+            Database::create(path)?
+        } else {
+            let file = OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path);
+            let file = file.map_err(redb::Error::Io)?;
+            Database::builder().create_with_backend(Unforced(FileBackend::new(file)?))?
+        };
         let txn = db.begin_write()?;
         txn.open_table(KEYS)?;
         txn.open_table(LEASES)?;
         txn.open_table(META)?;
         txn.commit()?;
-        Ok(Log { db, durability: if fsync { Durability::Immediate } else { Durability::None } })
+        Ok(Log { db })
     }
 
     pub fn load(&self, limits: Limits, now: Duration) -> Result<Store, LogError> {
@@ -81,8 +120,7 @@
     }
 
     pub fn write(&self, batch: &Batch) -> Result<(), LogError> {
-        let mut txn = self.db.begin_write()?;
-        txn.set_durability(self.durability)?;
+        let txn = self.db.begin_write()?;
         {
             let mut keys = txn.open_table(KEYS)?;
             let after = batch.changes.iter().map(|c| (&c.key, &c.after));
--- /dev/null
+++ b/crates/rehearsal/tests/program.rs
@@ -0,0 +1,178 @@
+//! The program itself, started as a user starts it: bad input ends it with one
+//! line and nothing left behind; its state service survives its own kill.
+
+use finchquay_protocol::store::{Cond, Ledger, Op, Rows, TXN, Txn};
+use finchquay_protocol::{decode, encode};
+use finchquay_rehearsal::http::Connection;
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::Duration;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_finchquay-rehearsal");
+const GOOD: &str = include_str!("../scenarios/filing-eve.hcl");
+
+fn run(dir: &Path, args: &[&str]) -> Output {
+    Command::new(PROGRAM).args(args).current_dir(dir).output().unwrap()
+}
+
+#[test]
+fn bad_input_ends_with_one_line_and_code_2() {
+    let dir = tempfile::tempdir().unwrap();
+    let file = |name: &str, text: &str| std::fs::write(dir.path().join(name), text).unwrap();
+    file("unknown.hcl", &GOOD.replace("settle_s = 90", "setle_s = 90"));
+    file("negative.hcl", &GOOD.replace("at_s = 8", "at_s = -8"));
+    file("kind.hcl", &GOOD.replace("\"store_slow\"", "\"store_slower\""));
+    file("good.hcl", GOOD);
+    // Something that can be named, though it is no controller.
+    let here = PROGRAM;
+    for (args, parts) in [
+        (vec!["run", "unknown.hcl", "--controller", here], ["unknown.hcl:5: ", "setle_s"]),
+        (vec!["run", "negative.hcl", "--controller", here], ["negative.hcl:", "fault.late-store.at_s"]),
+        (vec!["run", "kind.hcl", "--controller", here], ["kind.hcl:", "fault.late-store.kind"]),
+        (vec!["run", "missing.hcl", "--controller", here], ["missing.hcl: ", "cannot be read"]),
+        (vec!["run", "good.hcl", "--controller", "nowhere"], ["nowhere: ", "no controller program"]),
+        (vec!["suite", "no-such"], ["no scenario \"no-such\"", "filing-eve"]),
+        (vec!["check", "missing.jsonl"], ["missing.jsonl", ""]),
+        (vec!["probe", "192.0.2.1:1"], ["192.0.2.1:1", "loopback"]),
+    ] {
+        let out = run(dir.path(), &args);
+        let text = String::from_utf8_lossy(&out.stderr).to_string();
+        assert_eq!(out.status.code(), Some(2), "{args:?}: {text}");
+        assert_eq!(text.trim().lines().count(), 1, "{text}");
+        assert!(parts.iter().all(|p| text.contains(p)), "{args:?}: {text}");
+    }
+}
+
+/// A port in use must be told before any child is started.
+#[test]
+fn an_address_in_use_is_named_and_nothing_is_started() {
+    let held = std::net::TcpListener::bind("127.0.1.1:0").unwrap();
+    let port = held.local_addr().unwrap().port().to_string();
+    let dir = tempfile::tempdir().unwrap();
+    let out = run(dir.path(), &["up", "--plain", "--keep", "kept", "--controller", PROGRAM, "--port", &port]);
+    let text = String::from_utf8_lossy(&out.stderr).to_string();
+    assert_eq!(out.status.code(), Some(2), "{text}");
+    assert!(text.contains(&format!("127.0.1.1:{port}: ")), "{text}");
+    assert!(!dir.path().join("kept/perch-0.log").exists());
+}
+
+fn serve(file: &Path) -> (Child, SocketAddr) {
+    let mut child = Command::new(PROGRAM)
+        .args(["state", "--listen", "127.0.0.1:0"])
+        .arg(file)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    (child, line.trim().rsplit(' ').next().unwrap().parse().unwrap())
+}
+
+/// Kills the state service while it writes, again and again. Every answered
+/// transaction must be there in whole, and no unanswered one in part.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_state_service_keeps_what_it_answered() {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("state.redb");
+    let mut answered: HashMap<String, u64> = HashMap::new();
+    let second = Duration::from_secs(1);
+    for life in 0..4u64 {
+        let (mut child, address) = serve(&file);
+        let mut killed = tokio::task::spawn_blocking(move || {
+            std::thread::sleep(Duration::from_millis(150 + life * 37));
+            child.kill().unwrap();
+            child.wait().unwrap();
+        });
+        let mut connection = Connection::default();
+        for i in 0..100_000u64 {
+            let name = format!("{life}-{i}");
+            let put = |side: &str| {
+                let data = ciborium::Value::Text(name.clone());
+                Op::Put { key: format!("{side}/{name}"), data, lease: None }
+            };
+            let conds = vec![Cond { key: format!("a/{name}"), entry_no: 0 }];
+            let txn = Txn { conds, ops: vec![put("a"), put("b")] };
+            match connection.post(address, TXN, encode(&txn), second).await {
+                Some(r) if r.status == 200 => {
+                    let at = decode::<Ledger>(&r.body).unwrap().ledger_no;
+                    answered.insert(name, at);
+                }
+                Some(r) => panic!("status {}", r.status),
+                None => break,
+            }
+        }
+        (&mut killed).await.unwrap();
+    }
+    assert!(answered.len() > 50, "{} answered", answered.len());
+    let (mut child, address) = serve(&file);
+    let mut found: HashMap<String, Vec<u64>> = HashMap::new();
+    for side in ["a/", "b/"] {
+        let mut after = String::new();
+        loop {
+            let path = format!("/store?starts={side}&after={after}");
+            let rows: Rows = decode(&get(address, &path)).unwrap();
+            for r in &rows.rows {
+                found.entry(r.key[2..].to_string()).or_default().push(r.entry_no);
+            }
+            match rows.rows.last().filter(|_| rows.truncated) {
+                Some(last) => after = last.key.clone(),
+                None => break,
+            }
+        }
+    }
+    child.kill().unwrap();
+    child.wait().unwrap();
+    for (name, at) in &answered {
+        assert_eq!(found.get(name), Some(&vec![*at, *at]), "{name} was answered");
+    }
+    assert!(found.values().all(|v| v.len() == 2), "a transaction is there in part");
+    assert!(found.len() <= answered.len() + 4, "at most one a life was under way");
+}
+
+/// One GET over a connection of its own.
+fn get(address: SocketAddr, path: &str) -> Vec<u8> {
+    let mut s = TcpStream::connect(address).unwrap();
+    s.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    write!(s, "GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").unwrap();
+    let mut bytes = Vec::new();
+    s.read_to_end(&mut bytes).unwrap();
+    let head = bytes.windows(4).position(|w| w == b"\r\n\r\n").unwrap() + 4;
+    bytes.split_off(head)
+}
+
+/// Garbage on a port gets 400 or a closed connection, and the next caller an answer.
+#[test]
+fn garbage_is_answered_or_closed_and_harms_nobody() {
+    let dir = tempfile::tempdir().unwrap();
+    let (mut child, address) = serve(&dir.path().join("state.redb"));
+    let long = [b"GET /".to_vec(), vec![b'a'; 200_000]].concat();
+    let huge = b"POST /multi HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\nxx".to_vec();
+    let nest = [b"POST /multi HTTP/1.1\r\nHost: x\r\nContent-Length: 3000\r\n\r\n".to_vec(), vec![0x81; 3000]].concat();
+    let inputs: Vec<Vec<u8>> = vec![
+        b"\0\xff\x13\x37 nonsense\r\n\r\n".to_vec(),
+        b"GET /store/a%20b HTTP/9.9\r\n\r\n".to_vec(),
+        b"POST /multi HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n\xff\xff\xff\xff".to_vec(),
+        b"POST /holds HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n".to_vec(),
+        b"GET /follow?starts=a&after=-1 HTTP/1.1\r\nHost: x\r\n\r\n".to_vec(),
+        long,
+        huge,
+        nest,
+    ];
+    for bytes in inputs {
+        let mut s = TcpStream::connect(address).unwrap();
+        s.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+        let _ = s.write_all(&bytes);
+        let mut got = [0u8; 64];
+        let n = s.read(&mut got).unwrap_or(0);
+        let answer = String::from_utf8_lossy(&got[..n]).to_string();
+        let start: String = String::from_utf8_lossy(&bytes).chars().take(30).collect();
+        assert!(n == 0 || answer.starts_with("HTTP/1.1 4"), "{start}: {answer}");
+    }
+    let rows: Rows = decode(&get(address, "/store?starts=a")).unwrap();
+    assert!(rows.rows.is_empty());
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
--- /dev/null
+++ b/tests/rehearsal.rs
@@ -0,0 +1,97 @@
+//! Real controllers on loopback, played by the rehearsal: load, a killed
+//! controller, a killed state service, a machine that dies, a late write.
+//! Bounded to well under a minute; ports are free ones.
+
+use finchquay_rehearsal::run::{Options, play};
+use finchquay_rehearsal::scenario::Scenario;
+use std::path::Path;
+
+const SHORT: &str = r#"
+name = "short"
+duration_s = 14
+settle_s = 30
+seed = 5
+zones = ["hall"]
+controllers {
+  restart_s = 1
+}
+machine_type "std" {
+  cpus = 4
+  memory_gb = 16
+  cache_gb = 40
+  fetch_gb_per_s = 2
+  hourly = 0.2
+  spot_hourly = 0.1
+  boot_s = 1
+  ordinary = 12
+  up = 4
+}
+team "t" {
+  cpus_max = 30
+}
+load "web" {
+  kind = "service"
+  team = "t"
+  urgency = "urgent"
+  initial = 2
+  per_minute = 10
+  tasks = { constant = 1 }
+  run_s = { uniform = [6, 12] }
+  cpus = 1
+  memory_gb = 2
+  image_gb = 0.4
+  start_within_s = 5
+}
+load "drafts" {
+  kind = "array"
+  team = "t"
+  initial = 3
+  per_minute = 40
+  tasks = { uniform = [2, 12] }
+  run_s = { uniform = [0.5, 2.5] }
+  cpus = 1
+  memory_gb = 2
+  image_gb = 0.3
+  withdrawn = 0.2
+}
+fault "late-write" {
+  kind = "write_late"
+  at_s = 2
+  prefix = "fq/t/"
+  late_s = 9
+}
+fault "store-killed" {
+  kind = "store_restart"
+  at_s = 4
+  for_s = 1.5
+}
+fault "one-dies" {
+  kind = "die"
+  at_s = 7
+  count = 1
+}
+fault "controller-killed" {
+  kind = "controller_kill"
+  at_s = 8
+  controller = 0
+}
+"#;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_accepted_job_gets_one_final_answer() {
+    let dir = tempfile::tempdir().unwrap();
+    let options = Options {
+        scenario: Scenario::parse("short", SHORT).unwrap(),
+        seed: 5,
+        dir: dir.path().to_path_buf(),
+        controller: Path::new(env!("CARGO_BIN_EXE_finchquay")).into(),
+        public_port: 0,
+        front: None,
+        watcher: None,
+    };
+    let outcome = play(options, std::future::pending()).await.unwrap();
+    let v = &outcome.verdict;
+    assert!(v.holds() && v.settled, "{:#?}", v.violations);
+    assert!(v.accepted >= 10 && v.accepted == v.told_done + v.told_withdrawn, "{v:?}");
+    assert!(v.tasks_done >= 20, "{v:?}");
+}
