--- a/crates/rehearsal/scenarios/cold-machine.hcl
+++ b/crates/rehearsal/scenarios/cold-machine.hcl
@@ -1,5 +1,5 @@
-# One type of machine never comes up from the start on; those that
-# stand there serve alone until the cloud mends.
+# Nothing stands there, and for the first twenty seconds whatever is rented
+# never comes up, though it takes the cloud's room until it is given back.
 name = "cold-machine"
 duration_s = 40
 settle_s = 100
@@ -17,9 +17,8 @@
   hourly = 0.15
   spot_hourly = 0.05
   boot_s = 3
-  ordinary = 15
-  spot = 15
-  up = 3
+  ordinary = 3
+  spot = 2
 }
 
 team "intake" {}
@@ -74,5 +73,5 @@
 fault "cold" {
   kind = "boots_cold"
   at_s = 0
-  for_s = 45
+  for_s = 20
 }
--- a/crates/rehearsal/scenarios/write-late.hcl
+++ b/crates/rehearsal/scenarios/write-late.hcl
@@ -1,4 +1,5 @@
-# Writes of every kind are carried out long after they were given up.
+# Writes of every kind are carried out after they were given up: some just
+# then, some long after.
 name = "write-late"
 duration_s = 40
 settle_s = 100
@@ -72,32 +73,64 @@
 
 fault "late-0" {
   kind = "write_late"
-  at_s = 6
+  at_s = 5
   prefix = "fq/j/"
-  late_s = 30
+  late_s = 3
   count = 2
 }
 
 fault "late-1" {
   kind = "write_late"
-  at_s = 10
+  at_s = 7
   prefix = "fq/t/"
-  late_s = 30
-  count = 2
+  late_s = 3
+  count = 3
 }
 
 fault "late-2" {
   kind = "write_late"
-  at_s = 14
+  at_s = 12
+  prefix = "fq/t/"
+  late_s = 3
+  count = 3
+}
+
+fault "late-3" {
+  kind = "write_late"
+  at_s = 16
+  prefix = "fq/t/"
+  late_s = 3
+  count = 3
+}
+
+fault "late-4" {
+  kind = "write_late"
+  at_s = 20
+  prefix = "fq/j/"
+  late_s = 20
+  count = 2
+}
+
+fault "late-5" {
+  kind = "write_late"
+  at_s = 22
   prefix = "fq/h/"
-  late_s = 30
+  late_s = 3
   count = 2
 }
 
-fault "late-3" {
+fault "late-6" {
+  kind = "write_late"
+  at_s = 24
+  prefix = "fq/t/"
+  late_s = 25
+  count = 2
+}
+
+fault "late-7" {
   kind = "write_late"
-  at_s = 18
+  at_s = 26
   prefix = "fq/"
-  late_s = 30
+  late_s = 25
   count = 2
 }
--- a/crates/rehearsal/src/load.rs
+++ b/crates/rehearsal/src/load.rs
@@ -1,7 +1,7 @@
 //! Users: they submit jobs as the scenario says, follow them to their end and
 //! withdraw some, through the client library, and leave every attempt in the
-//! history. Now and then they ask about jobs that nobody submitted, and repeat
-//! submissions of jobs that are over.
+//! history. Somebody asks about jobs that are over and about jobs that nobody
+//! submitted, and some submit a job again that is over.
 
 use crate::history::{Asked, Event, Recorder};
 use crate::machine::driver::Driver;
@@ -14,12 +14,15 @@
 use rand_distr::{Distribution, Exp};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::task::JoinSet;
 
 /// Pause between polls of one job.
 const POLL_EVERY: Duration = Duration::from_secs(2);
+/// Jobs whose users have seen their end.
+pub type Over = Arc<Mutex<Vec<String>>>;
+
 /// Share of finished jobs that are submitted once more.
 const REPEATED: f64 = 0.1;
 
@@ -137,32 +140,49 @@
 }
 
 /// Plays all users; the set is empty once every one has seen the end of its job.
-pub fn play(jobs: Vec<Planned>, client: &Client, driver: &Driver, recorder: &Recorder, seed: u64) -> JoinSet<()> {
+pub fn play(
+    jobs: Vec<Planned>,
+    client: &Client,
+    driver: &Driver,
+    recorder: &Recorder,
+    seed: u64,
+    over: &Over,
+) -> JoinSet<()> {
     let mut users = JoinSet::new();
     let began = recorder.now();
-    let last = jobs.iter().map(|j| j.at_s).fold(0.0, f64::max);
     for (i, job) in jobs.into_iter().enumerate() {
-        let (client, driver, recorder) = (client.clone(), driver.clone(), recorder.clone());
+        let (client, driver, recorder, over) = (client.clone(), driver.clone(), recorder.clone(), over.clone());
         let rng = StdRng::seed_from_u64(seed.wrapping_add(i as u64));
         users.spawn(async move {
             let at = began + Duration::from_secs_f64(job.at_s);
             tokio::time::sleep(at.saturating_sub(recorder.now())).await;
             recorder.record(Event::Job { spec: job.description.spec.clone() });
             driver.fleet().upload(job.description.clone());
-            user(&client, &job, rng).await;
+            user(&client, &job, rng, &over).await;
         });
     }
-    let (client, recorder) = (client.clone(), recorder.clone());
-    users.spawn(async move {
-        // Ids that nobody uses; the answer must be 404.
-        let mut n = 0;
-        while (recorder.now() - began).as_secs_f64() < last {
+    users
+}
+
+/// Asks until it is dropped: about jobs that are over, whose end must stay,
+/// and now and then about ids that nobody uses, whose answer must be 404.
+pub async fn curious(client: Client, over: Over) {
+    let mut n = 0;
+    loop {
+        tokio::time::sleep(POLL_EVERY / 8).await;
+        n += 1;
+        if n % 16 == 0 {
             let _ = client.status(&format!("run-999{n:09}")).await;
-            n += 1;
-            tokio::time::sleep(POLL_EVERY * 2).await;
+            continue;
         }
-    });
-    users
+        let uid = {
+            let over = over.lock().unwrap_or_else(PoisonError::into_inner);
+            (!over.is_empty()).then(|| over[rand::random_range(0..over.len())].clone())
+        };
+        if let Some(uid) = uid {
+            let _ = client.status(&uid).await;
+        }
+    }
 }
 
 /// Follows a job of an earlier run on the same state to its end.
@@ -174,7 +194,7 @@
     }
 }
 
-async fn user(client: &Client, job: &Planned, mut rng: impl Rng) {
+async fn user(client: &Client, job: &Planned, mut rng: impl Rng, over: &Over) {
     let spec = &job.description.spec;
     if client.submit(spec).await.is_err() {
         return;
@@ -195,6 +215,7 @@
     if end.is_err() {
         return;
     }
+    over.lock().unwrap_or_else(PoisonError::into_inner).push(spec.uid.clone());
     tokio::time::sleep(Duration::from_secs_f64(rng.random_range(0.5..4.0))).await;
     if rng.random_bool(REPEATED) {
         let _ = client.submit(spec).await;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -165,7 +165,7 @@
         Verb::Up { common, scenario, keep, port, plain } => up(common, scenario, keep, port, plain).await,
         Verb::Run { scenario, common, out } => {
             let s = Scenario::read(&scenario)?;
-            let dir = out.unwrap_or_else(|| PathBuf::from(format!("rehearsal-{}", s.name)));
+            let dir = fresh_folder(out, &s.name)?;
             let model = Arc::new(Mutex::new(Model::default()));
             let watcher = plain_watcher(model);
             let options = options(s, &common, dir.clone(), None, Some(watcher))?;
@@ -220,21 +220,16 @@
     if holds { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-/// Comes when the process is asked to end, by whatever signal.
-async fn ended() {
-    let wait = |kind| async move {
-        match signal(kind) {
-            Ok(mut s) => {
-                s.recv().await;
-            }
-            Err(_) => std::future::pending().await,
-        }
-    };
-    tokio::select! {
-        () = wait(SignalKind::interrupt()) => {}
-        () = wait(SignalKind::terminate()) => {}
-        () = wait(SignalKind::hangup()) => {}
-    }
+/// Comes when the process is asked to end, by whatever signal. Signals are
+/// caught from this call on, not from the first wait: one that comes while
+/// children are being started must end them too.
+fn ended() -> impl Future<Output = ()> {
+    let kinds = [SignalKind::interrupt(), SignalKind::terminate(), SignalKind::hangup()];
+    let mut caught: Vec<_> = kinds.into_iter().filter_map(|k| signal(k).ok()).collect();
+    std::future::poll_fn(move |cx| {
+        let any = caught.iter_mut().any(|s| s.poll_recv(cx).is_ready());
+        if any { std::task::Poll::Ready(()) } else { std::task::Poll::Pending }
+    })
 }
 
 fn options(
@@ -258,6 +253,25 @@
     Ok(Options { scenario, seed, dir, controller, public_port, front, watcher })
 }
 
+/// Where a play leaves its files: the folder asked for, or the first of its
+/// name that is free. One that holds a rehearsal is never played over.
+fn fresh_folder(out: Option<PathBuf>, name: &str) -> Result<PathBuf, MainError> {
+    let used = |dir: &Path| dir.join("history-1.jsonl").exists();
+    match out {
+        Some(dir) if used(&dir) => {
+            Err(MainError::Usage(format!("{}: holds a rehearsal already; name another folder", dir.display())))
+        }
+        Some(dir) => Ok(dir),
+        None => {
+            let mut dirs = (1..).map(|i| match i {
+                1 => PathBuf::from(format!("rehearsal-{name}")),
+                _ => PathBuf::from(format!("rehearsal-{name}-{i}")),
+            });
+            dirs.find(|d| !used(d)).ok_or_else(|| MainError::Usage("no free folder".into()))
+        }
+    }
+}
+
 /// Prints news as they come, and a summary now and then.
 fn plain_watcher(model: Arc<Mutex<Model>>) -> Watcher {
     let last = Mutex::new(0.0f64);
@@ -310,9 +324,10 @@
         let (model, quit, closed) = (model.clone(), quit.clone(), closed.clone());
         std::thread::spawn(move || show(&model, &quit, &closed))
     });
+    let asked = ended();
     let stop = async {
         tokio::select! {
-            () = ended() => {}
+            () = asked => {}
             () = quit.notified() => {}
         }
     };
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -148,19 +148,21 @@
         background.spawn(Front::new(places.clone(), driver.clone(), recorder.clone()).serve(listener));
     }
     let client = load::client(&places, &recorder)?;
-    let mut users = load::play(jobs, &client, &driver, &recorder, user_seed);
+    let over = load::Over::default();
+    let mut users = load::play(jobs, &client, &driver, &recorder, user_seed, &over);
+    background.spawn(load::curious(client.clone(), over));
     for (uid, withdraw) in earlier.open {
         users.spawn(load::resume(client.clone(), uid, withdraw));
     }
     let most = world.scenario.duration_s + world.scenario.settle_s;
     let all_ended = async { while users.join_next().await.is_some() {} };
-    let over = async {
+    let ended = async {
         // The load may end before the last fault does; both have to.
         tokio::time::sleep(Duration::from_secs_f64(world.scenario.duration_s)).await;
         let _ = tokio::time::timeout(Duration::from_secs_f64(most - world.scenario.duration_s), all_ended).await;
     };
     let settled = tokio::select! {
-        () = over => true,
+        () = ended => true,
         () = stop => false,
     };
     users.shutdown().await;
--- a/crates/rehearsal/src/state/probe.rs
+++ b/crates/rehearsal/src/state/probe.rs
@@ -51,7 +51,8 @@
             (took, failed)
         });
     }
-    let mut times = Histogram::new(3).expect("three digits are allowed");
+    // Three digits, up to a minute in microseconds.
+    let mut times = Histogram::new_with_bounds(1, 60_000_000, 3).expect("the bounds are sound");
     let mut failed = 0;
     while let Some(joined) = running.join_next().await {
         if let Ok((took, f)) = joined {
--- a/crates/rehearsal/tests/program.rs
+++ b/crates/rehearsal/tests/program.rs
@@ -26,6 +26,8 @@
     file("negative.hcl", &GOOD.replace("at_s = 8", "at_s = -8"));
     file("kind.hcl", &GOOD.replace("\"store_slow\"", "\"store_slower\""));
     file("good.hcl", GOOD);
+    std::fs::create_dir(dir.path().join("used")).unwrap();
+    file("used/history-1.jsonl", "");
     // Something that can be named, though it is no controller.
     let here = PROGRAM;
     for (args, parts) in [
@@ -34,6 +36,7 @@
         (vec!["run", "kind.hcl", "--controller", here], ["kind.hcl:", "fault.late-store.kind"]),
         (vec!["run", "missing.hcl", "--controller", here], ["missing.hcl: ", "cannot be read"]),
         (vec!["run", "good.hcl", "--controller", "nowhere"], ["nowhere: ", "no controller program"]),
+        (vec!["run", "good.hcl", "--controller", here, "--out", "used"], ["used: ", "holds a rehearsal already"]),
         (vec!["suite", "no-such"], ["no scenario \"no-such\"", "filing-eve"]),
         (vec!["check", "missing.jsonl"], ["missing.jsonl", ""]),
         (vec!["probe", "192.0.2.1:1"], ["192.0.2.1:1", "loopback"]),
@@ -176,3 +179,39 @@
     child.kill().unwrap();
     child.wait().unwrap();
 }
+
+/// However a rehearsal is asked to end, no child may be left behind.
+#[test]
+fn ending_it_ends_every_child() {
+    use std::os::unix::fs::PermissionsExt;
+    for signal in [rustix::process::Signal::INT, rustix::process::Signal::TERM] {
+        let dir = tempfile::tempdir().unwrap();
+        // Stands in for a controller: notes its process and stays.
+        let stub = dir.path().join("stub");
+        let pids = dir.path().join("pids");
+        let text = format!("#!/bin/sh\necho $$ >> {}\nexec sleep 60\n", pids.display());
+        std::fs::write(&stub, text).unwrap();
+        std::fs::set_permissions(&stub, std::fs::Permissions::from_mode(0o755)).unwrap();
+        let mut child = Command::new(PROGRAM)
+            .args(["up", "--plain", "--port", "0", "--controller"])
+            .arg(&stub)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let started = |text: &str| text.lines().count() == 3;
+        let until = std::time::Instant::now() + Duration::from_secs(20);
+        while !std::fs::read_to_string(&pids).is_ok_and(|t| started(&t)) {
+            assert!(std::time::Instant::now() < until, "the children did not start");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        let pid = rustix::process::Pid::from_raw(child.id() as i32).unwrap();
+        rustix::process::kill_process(pid, signal).unwrap();
+        let mut out = String::new();
+        child.stdout.take().unwrap().read_to_string(&mut out).unwrap();
+        child.wait().unwrap();
+        assert!(out.contains("stopped"), "{out}");
+        for pid in std::fs::read_to_string(&pids).unwrap().lines() {
+            assert!(!Path::new(&format!("/proc/{pid}")).exists(), "child {pid} is left behind");
+        }
+    }
+}
