--- /dev/null
+++ b/src/controller/commit.rs
@@ -0,0 +1,196 @@
+//! Transactions: what each is for, how many may go, and what follows from their
+//! answers. The one place that writes to the state service.
+
+use super::*;
+
+/// What a transaction was for.
+#[derive(Debug)]
+pub(super) enum Why {
+    Accept(String),
+    Withdraw(String),
+    /// Starts and exits of one job; the machines that got starts, and the
+    /// part of a limit that these took without changing the team's record.
+    Work {
+        starts: Vec<String>,
+        part: Option<(String, Amounts)>,
+    },
+    Lead,
+    Member,
+    Enrol,
+    Grant,
+    /// The end of a job whose last task is gone.
+    Close,
+    Relet,
+    /// A machine is to be drained, or not any more.
+    Mark,
+    /// A machine that was released leaves the records.
+    Forget,
+    /// A team comes near its limit.
+    Limit,
+}
+
+impl Why {
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            Why::Accept(_) => "accept",
+            Why::Withdraw(_) => "withdraw",
+            Why::Work { starts, .. } if starts.is_empty() => "exits",
+            Why::Work { .. } => "starts",
+            Why::Lead => "lead",
+            Why::Member => "member",
+            Why::Enrol => "enrol",
+            Why::Grant => "grant",
+            Why::Close => "close",
+            Why::Relet => "relet",
+            Why::Mark => "mark",
+            Why::Forget => "forget",
+            Why::Limit => "limit",
+        }
+    }
+}
+
+/// Transactions of one kind since the last summary.
+#[derive(Debug, Default)]
+pub(super) struct Writes {
+    pub(super) sent: u32,
+    pub(super) changes: usize,
+    /// Carried out nothing: a record had changed, or the store said no.
+    pub(super) failed: u32,
+}
+
+/// A rate limit with bursts worth one second.
+#[derive(Debug)]
+pub(super) struct Bucket {
+    pub(super) rate: f64,
+    pub(super) level: f64,
+    pub(super) at: Instant,
+}
+
+impl Bucket {
+    pub(super) fn new(rate: f64) -> Bucket {
+        Bucket { rate, level: rate, at: Duration::ZERO }
+    }
+
+    pub(super) fn level(&self, now: Instant) -> f64 {
+        let dt = now.saturating_sub(self.at).as_secs_f64();
+        (self.level + dt * self.rate).min(self.rate.max(1.0))
+    }
+
+    /// Whether `n` may be spent; a full bucket will do for more than it holds.
+    pub(super) fn has(&self, now: Instant, n: f64) -> bool {
+        self.level(now) >= n.min(self.rate.max(1.0))
+    }
+
+    pub(super) fn spend(&mut self, now: Instant, n: f64) {
+        self.level = self.level(now) - n;
+        self.at = now;
+    }
+}
+
+impl Controller {
+    /// Whether `n` changes may be written now that could also wait.
+    pub(super) fn may_write(&self, n: f64) -> bool {
+        self.now >= self.write_after && self.writes.has(self.now, n)
+    }
+
+    /// Sends a transaction; its keys are left alone until it is answered.
+    pub(super) fn txn(&mut self, txn: Txn, why: Why) {
+        let mut keys: Vec<String> = txn.conds.iter().map(|c| c.key.clone()).collect();
+        keys.retain(|k| !k.starts_with("fq/h/") && !k.starts_with("fq/b/") && k != records::LEAD_KEY);
+        // A team's record that is only looked at keeps nobody else from it.
+        let written = |k: &str| txn.ops.iter().any(|op| matches!(op, store::Op::Put { key, .. } if key == k));
+        keys.retain(|k| !k.starts_with(records::TEAMS) || written(k));
+        self.send_txn(txn, why, keys);
+    }
+
+    /// Sends a transaction that keeps `keys` busy until it is answered.
+    pub(super) fn send_txn(&mut self, txn: Txn, why: Why, keys: Vec<String>) {
+        self.writes.spend(self.now, txn.ops.len() as f64);
+        let written = self.written.entry(why.name()).or_default();
+        written.sent += 1;
+        written.changes += txn.ops.len();
+        self.busy.extend(keys.iter().cloned());
+        let body = crate::protocol::encode(&txn);
+        let timeout = self.report_s(1.0);
+        self.call(
+            Target::State,
+            "POST",
+            store::TXN.into(),
+            Some(body),
+            timeout,
+            Purpose::Txn { txn, why, keys, sent: self.now },
+        );
+    }
+
+    pub(super) fn txn_answer(&mut self, txn: Txn, why: Why, result: Result<Reply, NoAnswer>) {
+        let ledger = |r: &Reply| crate::protocol::decode::<store::Ledger>(&r.body).ok().map(|l| l.ledger_no);
+        let done = match &result {
+            Ok(r) if r.status == 200 => ledger(r),
+            _ => None,
+        };
+        if let Some(revision) = done {
+            for op in &txn.ops {
+                // Deletes wait for the watch: it could still bring an older put.
+                if let store::Op::Put { key, data, .. } = op {
+                    self.view.put(key, data, revision);
+                }
+            }
+            self.dirty = true;
+        }
+        let status = result.as_ref().map_or(0, |r| r.status);
+        if done.is_none() && status != 409 {
+            self.write_after = self.now + self.report_s(0.1);
+        }
+        if done.is_none() {
+            self.written.entry(why.name()).or_default().failed += 1;
+            let changed = result.as_ref().ok().and_then(|r| crate::protocol::decode::<store::Ledger>(&r.body).ok());
+            let changed = changed.map(|l| l.failed).unwrap_or_default();
+            tracing::debug!(status, ?why, ?changed, "transaction not carried out");
+        }
+        if done.is_some() {
+            self.record_changed(&txn);
+        }
+        match why {
+            Why::Accept(uid) => {
+                let beaten = result.ok().filter(|r| r.status == 409).and_then(|r| ledger(&r));
+                self.accept_answer(&uid, done.is_some(), status, beaten);
+            }
+            Why::Withdraw(uid) => self.withdraw_answer(&uid, done.is_some(), status),
+            Why::Work { starts, part } => {
+                self.dirty = true;
+                if let Some((team, amounts)) = part {
+                    let carried_out = result.as_ref().ok().map(|r| r.status == 200);
+                    self.parts.entry(team).or_default().answered(amounts, carried_out, self.now);
+                }
+                if let Ok(r) = result.as_ref()
+                    && r.status == 409
+                    && let (Some(revision), Some(c)) = (ledger(r), txn.conds.first())
+                {
+                    self.outdated.insert(c.key.clone(), revision);
+                }
+                if done.is_some() {
+                    for m in starts {
+                        self.push(&m);
+                    }
+                }
+            }
+            Why::Lead if done.is_some() => {
+                let term = self.view.lead.as_ref().map_or(0, |l| l.rec.term);
+                self.epoch = 0;
+                self.charter = 0;
+                self.list_at = None;
+                tracing::info!(term, member = %self.me, "took the lead");
+            }
+            Why::Enrol => self.enrol_rentals(),
+            _ => {}
+        }
+        self.view_changed();
+    }
+
+    /// A transaction whose host keys count as busy as well.
+    pub(super) fn txn_keyed(&mut self, txn: Txn, why: Why) {
+        let mut keys: Vec<String> = txn.conds.iter().map(|c| c.key.clone()).collect();
+        keys.retain(|k| k != records::LEAD_KEY);
+        self.send_txn(txn, why, keys);
+    }
+}
--- /dev/null
+++ b/src/controller/enrol.rs
@@ -0,0 +1,98 @@
+//! Recording machines: those that report and those that were rented.
+
+use super::*;
+use crate::coordination::blocks::{self};
+use crate::protocol::store::{Cond, Op};
+use records::PackRec;
+
+/// Rentals whose machines would take the leader's writes of this part of a
+/// second, one by one, are recorded together.
+pub(super) const PACK_FROM: f64 = 0.5;
+
+impl Controller {
+    /// A machine that reports and is not known joins the block of whoever it
+    /// reports to, under the leader's term and epoch 0, below any later grant:
+    /// no earlier owner can exist. The leader levels the blocks afterwards.
+    pub(super) fn enrol(&mut self, report: &Report) {
+        let key = records::pack_key(&report.machine);
+        let led = self.leader_name().is_some() && self.view.is_live(&self.me, self.incarnation);
+        // What can be started on machines that are known already comes first.
+        let need = 1.0 + self.writes.rate * ACCEPT_RESERVE;
+        if !led || self.busy.contains(&key) || self.gone.contains(&report.machine) || !self.may_write(need) {
+            return;
+        }
+        let rec = PackRec {
+            build: report.build.clone(),
+            site: report.site.clone(),
+            spot: report.spot,
+            owner: self.me.clone(),
+            incarnation: self.incarnation,
+            term: self.term(),
+            epoch: 0,
+            base: self.beginning(),
+            machines: vec![report.machine.clone()],
+            drain: Vec::new(),
+        };
+        let txn = Txn {
+            conds: vec![self.lead_cond(), self.packs_cond(), Cond { key: key.clone(), entry_no: 0 }],
+            ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
+        };
+        self.txn_keyed(txn, Why::Enrol);
+    }
+
+    /// Holds while no pack was written that this view does not know.
+    fn packs_cond(&self) -> Cond {
+        Cond { key: records::PACKS_KEY.into(), entry_no: self.view.packs_version }
+    }
+
+    /// Records the machines of a large rental before they are up, in packs for
+    /// the lightest blocks. Those of a small one are recorded as they report,
+    /// by whoever they report to. No machine may be in two packs: this is
+    /// conditional on none having a record of its own, and such records on no
+    /// pack having been written meanwhile.
+    pub(super) fn enrol_rentals(&mut self) {
+        if self.busy.contains(records::PACKS_KEY) || !self.am_leader() {
+            return;
+        }
+        let Some((offer, mut names)) = self.unrecorded.pop_front() else { return };
+        let st = &self.set.settings.state;
+        let members = self.view.members.len().max(1);
+        // Records and conditions of one transaction are limited.
+        names.truncate((st.txn_ops * 4).saturating_sub(2));
+        names.retain(|n| !self.view.hosts.contains_key(n));
+        if names.is_empty() {
+            return;
+        }
+        let size = names.len().div_ceil(members.min(st.txn_ops.saturating_sub(1).max(1)));
+        let owners = blocks::spread(&self.view, &offer.build, names.len(), size);
+        let mut txn = Txn { conds: vec![self.lead_cond(), self.packs_cond()], ops: Vec::new() };
+        txn.conds.extend(names.iter().map(|n| Cond { key: records::pack_key(n), entry_no: 0 }));
+        let count = records::to_value(&self.charter);
+        txn.ops.push(Op::Put { key: records::PACKS_KEY.into(), data: count, lease: None });
+        for (machines, owner) in names.chunks(size).zip(owners) {
+            let Some(to) = self.view.members.get(owner) else { continue };
+            let rec = PackRec {
+                build: offer.build.clone(),
+                site: offer.site.clone(),
+                spot: offer.spot,
+                owner: owner.to_string(),
+                incarnation: to.rec.incarnation,
+                term: self.term(),
+                epoch: 0,
+                base: false,
+                machines: machines.to_vec(),
+                drain: Vec::new(),
+            };
+            let key = records::pack_key(&machines[0]);
+            txn.ops.push(Op::Put { key, data: records::to_value(&rec), lease: None });
+        }
+        self.txn_keyed(txn, Why::Enrol);
+    }
+
+    /// Whether this is the first report interval of the cluster's first term:
+    /// nothing that we rented can be up yet.
+    fn beginning(&self) -> bool {
+        let since = self.led_since.map(|t| self.now.saturating_sub(t));
+        self.term() == 1 && since.is_some_and(|s| s < self.report_s(1.5))
+    }
+}
--- /dev/null
+++ b/src/controller/fleet.rs
@@ -0,0 +1,493 @@
+//! Renting and returning machines, by the leader: what the cloud offers and
+//! lists, what is wanted beyond it, what stood idle long enough.
+
+use super::enrol::PACK_FROM;
+use super::work::HOPE;
+use super::*;
+use crate::fleet::{Demand, Offer, Rental, fits, take_up, wanted_rentals};
+use crate::placement::Room;
+use crate::protocol::cloud::{
+    CATALOG, Catalog, Page, Phase, RELEASE_LIMIT, RENT, RENT_LIMIT, Rent, Rented as RentedBody, list_path,
+};
+use crate::protocol::store::{Cond, Op};
+use crate::protocol::user::{Form, JobSpec};
+use crate::protocol::{decode, encode};
+use records::{HostRec, PackRec};
+
+/// A job that will be late gets machines for one in this many of its tasks.
+const LATE_SHARE: u32 = 4;
+/// Tasks that waited this many boot times ago still count as pressure; the
+/// second holds while thrift is due.
+const PRESSED_BOOTS: [f64; 2] = [4.0, 1.0];
+/// Idle machines are kept this many times longer while aims are missed.
+const BEHIND_KEEPS: [f64; 2] = [20.0, 4.0];
+/// Ordinary machines for arrays that may use spot ones are not rented while
+/// more than this part of what is up is booting.
+const GROWTH: f64 = 0.5;
+/// The fleet is looked at this often while the machine list grows old.
+const FLEET_LAG_SHARE: f64 = 0.1;
+
+impl Controller {
+    pub(super) fn fetch_types(&mut self) {
+        if self.types_busy || self.now < self.types_next && !self.types.is_empty() || !self.cloud.has(self.now, 1.0) {
+            return;
+        }
+        self.types_busy = true;
+        self.cloud.spend(self.now, 1.0);
+        self.types_next = self.now + self.secs(self.set.settings.workers.lease_s);
+        let timeout = self.report_s(2.0);
+        self.call(Target::Cloud, "GET", CATALOG.into(), None, timeout, Purpose::Catalog);
+    }
+
+    pub(super) fn fleet_tick(&mut self) {
+        let now = self.now;
+        if now < self.fleet_next {
+            return;
+        }
+        let lag = self.secs(self.set.settings.cloud.list_lag_s * FLEET_LAG_SHARE);
+        self.fleet_next = now + self.report_s(0.25).min(lag);
+        if !self.list_busy && now >= self.list_next && self.cloud.has(now, 1.0) {
+            self.list_busy = true;
+            self.cloud.spend(self.now, 1.0);
+            self.list_new.clear();
+            self.list_page("");
+        }
+        if self.list_at.is_none() || self.types.is_empty() {
+            return;
+        }
+        self.refused.retain(|_, until| *until > now);
+        self.return_strays();
+        self.rent();
+        self.return_idle();
+    }
+
+    fn list_page(&mut self, after: &str) {
+        let timeout = self.report_s(2.0);
+        self.call(Target::Cloud, "GET", list_path(after), None, timeout, Purpose::List);
+    }
+
+    pub(super) fn cloud_answer(&mut self, purpose: Purpose, result: Result<Reply, NoAnswer>) {
+        match purpose {
+            Purpose::Catalog => {
+                self.types_busy = false;
+                if let Ok(r) = result
+                    && r.status == 200
+                    && let Ok(c) = decode::<Catalog>(&r.body)
+                {
+                    self.types = c.builds;
+                    self.dirty = true;
+                } else {
+                    self.types_next = self.now + self.report_s(0.5);
+                }
+            }
+            Purpose::List => {
+                let lag = self.set.settings.cloud.list_lag_s;
+                self.list_busy = false;
+                self.list_next = self.now + self.secs(lag / 2.0);
+                let Ok(r) = result else { return };
+                if r.status != 200 {
+                    return;
+                }
+                let Ok(page) = decode::<Page>(&r.body) else { return };
+                let last = page.machines.last().map(|m| m.uid.clone());
+                for m in page.machines {
+                    self.list_new.insert(m.uid.clone(), m);
+                }
+                if let Some(last) = last
+                    && page.truncated
+                {
+                    self.list_busy = true;
+                    self.list_page(&last);
+                    return;
+                }
+                self.list = std::mem::take(&mut self.list_new);
+                self.list_at = Some(self.now);
+                // A later list may be an older one, so what was rented stays on
+                // our own books until it reports or is given up.
+                let mut rented = std::mem::take(&mut self.rented);
+                rented.retain(|name, r| {
+                    !self.is_up(name) && self.now.saturating_sub(r.at).as_secs_f64() < self.late_s(&r.offer.build)
+                });
+                self.rented = rented;
+            }
+            Purpose::Rent { offer, number } => {
+                self.renting = self.renting.saturating_sub(1);
+                match result {
+                    Ok(r) if r.status == 200 => {
+                        let names = decode::<RentedBody>(&r.body).map(|b| b.machines).unwrap_or_default();
+                        if (names.len() as u32) < number {
+                            // Filled in part: there are no more for now.
+                            self.refused.insert(offer.clone(), self.now + self.secs(self.set.settings.workers.lease_s));
+                        }
+                        tracing::info!(build = %offer.build, site = %offer.site, spot = offer.spot, machines = names.len(), "machines rented");
+                        if names.len() as f64 >= self.writes.rate * PACK_FROM {
+                            self.unrecorded.push_back((offer.clone(), names.clone()));
+                            self.enrol_rentals();
+                        }
+                        for n in names {
+                            self.rented.insert(n, Rented { offer: offer.clone(), at: self.now });
+                        }
+                    }
+                    Ok(r) if r.status == 503 => {
+                        let pause = self.secs(self.set.settings.workers.lease_s);
+                        self.refused.insert(offer, self.now + pause);
+                    }
+                    _ => {}
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn late_s(&self, build: &str) -> f64 {
+        self.machine_type(build).map_or(f64::MAX, |t| t.startup_s * self.set.operator.late_boots)
+    }
+
+    /// Machines that failed, or were rented and never came up, are returned.
+    fn return_strays(&mut self) {
+        let mut names = Vec::new();
+        // Recorded, but neither listed nor heard: it never comes up either.
+        let now = self.now;
+        let before = std::mem::take(&mut self.unseen_since);
+        let mut left = Vec::new();
+        let mut unseen = HashMap::new();
+        for (name, h) in self.view.hosts.iter().filter(|(name, _)| !self.is_up(name)) {
+            let since = before.get(name).copied().unwrap_or(now);
+            unseen.insert(name.clone(), since);
+            if self.gone.contains(name) {
+                left.push(name.clone());
+            } else if now.saturating_sub(since).as_secs_f64() > self.late_s(&h.rec.build)
+                && !self.releasing.contains(name)
+            {
+                names.push(name.clone());
+            }
+        }
+        self.unseen_since = unseen;
+        self.forget_machines(left);
+        for (name, l) in &self.list {
+            let known = self.is_up(name) || names.contains(name);
+            let late = l.phase != Phase::Failed && l.held_s > self.late_s(&l.build);
+            if !known
+                && (late || l.phase == Phase::Failed)
+                && !self.gone.contains(name)
+                && !self.releasing.contains(name)
+            {
+                names.push(name.clone());
+            }
+        }
+        names.truncate(RELEASE_LIMIT);
+        if !names.is_empty() && self.cloud.has(self.now, 1.0) {
+            tracing::info!(machines = names.len(), reason = "never came up", "machines are returned");
+            self.release(names);
+        }
+    }
+
+    /// Free room that is there or on its way.
+    pub(super) fn expected_rooms(&self, counted: Counted) -> Vec<Room> {
+        let mut rooms: Vec<Room> = self.rooms_beside(true, counted).into_iter().map(|(_, r)| r).collect();
+        let coming = |name: &str| !self.is_up(name) && !self.gone.contains(name);
+        for (name, l) in &self.list {
+            if matches!(l.phase, Phase::Booting | Phase::Running)
+                && coming(name)
+                && let Some(t) = self.machine_type(&l.build)
+            {
+                rooms.push(Room::empty(name, t, &l.site, l.spot));
+            }
+        }
+        for (name, r) in &self.rented {
+            let young = self.now.saturating_sub(r.at) < self.secs(self.late_s(&r.offer.build).min(1e6));
+            if young
+                && coming(name)
+                && !self.list.contains_key(name)
+                && let Some(t) = self.machine_type(&r.offer.build)
+            {
+                rooms.push(Room::empty(name, t, &r.offer.site, r.offer.spot));
+            }
+        }
+        // What may use spot machines counts on those first.
+        rooms.sort_by_key(|r| !r.spot);
+        rooms
+    }
+
+    /// So much boots already that what arrays need beyond it is not known yet:
+    /// a fleet that begins with nothing would rent ordinary machines for all
+    /// that gathered while the first ones boot.
+    fn growing(&self, rooms: &[Room]) -> bool {
+        let (mut up, mut boots) = (0.0, 0.0);
+        for r in rooms {
+            let part = if self.is_up(&r.machine) { &mut up } else { &mut boots };
+            *part += r.total_cores;
+        }
+        boots > up * GROWTH
+    }
+
+    /// Whether more is rented than stands there by the operators' own choice.
+    /// Up to that, machines for late work are a small part of the cost and are
+    /// rented freely; beyond it they are most of it.
+    fn thrift(&self, rooms: &[Room]) -> bool {
+        let base = |r: &Room| self.view.hosts.get(&r.machine).is_some_and(|h| h.rec.base);
+        let stands: f64 = rooms.iter().filter(|r| base(r)).map(|r| r.total_cores).sum();
+        rooms.iter().map(|r| r.total_cores).sum::<f64>() > stands * 2.0
+    }
+
+    /// Waiting tasks: first those of services that must start soon, with room
+    /// to spare for them, then all others. The first may count on room that
+    /// arrays use, since those can be preempted.
+    fn demand(&self, rooms: &[Room]) -> (Vec<Demand<'_>>, Vec<Demand<'_>>) {
+        let cores: f64 = rooms.iter().map(|r| r.total_cores).sum();
+        let thrift = self.thrift(rooms);
+        let growing = thrift && self.growing(rooms);
+        let all_saved = !thrift && self.aims.behind();
+        let boot = self.types.iter().map(|t| t.startup_s).fold(f64::MAX, f64::min);
+        let (mut services, mut arrays) = (Vec::new(), Vec::new());
+        let mut run = (0.0, 0.0);
+        let mut spare: BTreeMap<&str, (&JobSpec, u32)> = BTreeMap::new();
+        let soon = |spec: &JobSpec| spec.form == Form::Standing && self.aims.start_within(spec).is_some();
+        for j in self.view.jobs.values().filter(|j| !j.withdrawn()) {
+            let mut n = j.waiting_count();
+            // A machine rented now does not save a job that will be late all
+            // the same: it makes do with less, unless aims are missed and
+            // machines are cheap beside what stands there.
+            let age_s = self.wall_ms().saturating_sub(j.rec.rec.at_ms) as f64 / 1000.0;
+            let aim_s = self.aims.end_from(&j.spec, age_s, boot + j.spec.expected_s * HOPE);
+            let lost = aim_s.is_some_and(|a| a - age_s < boot + j.spec.expected_s * HOPE);
+            let lost = lost && !all_saved;
+            if lost {
+                n = n.div_ceil(LATE_SHARE);
+            }
+            if n > 0 {
+                let zones = self.view.zones_of(j);
+                let d = Demand {
+                    spec: &j.spec,
+                    tasks: n,
+                    thrifty: lost || growing,
+                    zones,
+                    of: j.spec.parcels,
+                    spare: false,
+                };
+                if soon(&j.spec) {
+                    services.push(d);
+                } else {
+                    let slack_s = aim_s.map_or(0.0, |a| a - age_s - boot - j.spec.expected_s * HOPE);
+                    arrays.push((slack_s, d));
+                }
+            }
+            if j.spec.form == Form::Batch {
+                run.0 += f64::from(j.spec.parcels) * j.spec.expected_s;
+                run.1 += f64::from(j.spec.parcels);
+            }
+            if soon(&j.spec) {
+                let e = spare.entry(&j.spec.docket).or_insert((&j.spec, 0));
+                e.1 += j.spec.parcels;
+            }
+        }
+        // The services of any one machine must find room elsewhere at once.
+        let mut together: BTreeMap<&str, u32> = BTreeMap::new();
+        for (class, n) in self.view.loads.values().flat_map(|l| &l.standing) {
+            let most = together.entry(class).or_default();
+            *most = (*n).max(*most);
+        }
+        for (class, (spec, n)) in spare {
+            let share = (f64::from(n) * self.set.operator.spare_share).ceil() as u32 + 1;
+            let tasks = share.max(together.get(class).copied().unwrap_or(0));
+            services.push(Demand::spare(spec, tasks));
+        }
+        // Jobs that are lost take what the others leave.
+        arrays.sort_by(|(a, c), (b, d)| {
+            d.spec.urgency.cmp(&c.spec.urgency).then((*a < 0.0).cmp(&(*b < 0.0))).then(a.total_cmp(b))
+        });
+        // Room that running tasks leave soon enough serves jobs that can wait
+        // for it: only the rest is worth an ordinary machine.
+        let freed_per_s = if run.0 > 0.0 { cores * run.1 / run.0 } else { 0.0 };
+        let mut before = 0.0;
+        let mut split = Vec::new();
+        for (slack_s, d) in arrays {
+            let turns = (freed_per_s * slack_s.max(0.0) - before).max(0.0) / d.spec.cores.max(f64::MIN_POSITIVE);
+            let waits = if d.thrifty {
+                d.tasks
+            } else if !thrift {
+                0
+            } else {
+                turns.min(f64::from(d.tasks)) as u32
+            };
+            before += f64::from(waits) * d.spec.cores;
+            let part = |tasks, thrifty| Demand { tasks, thrifty, zones: d.zones.clone(), ..d };
+            split.extend([part(d.tasks - waits, false), part(waits, true)].into_iter().filter(|d| d.tasks > 0));
+        }
+        (services, split)
+    }
+
+    fn rent(&mut self) {
+        if self.renting > 0 || !self.cloud.has(self.now, 1.0) {
+            return;
+        }
+        let refused: BTreeSet<Offer> = self.refused.keys().cloned().collect();
+        let mut all = self.expected_rooms(Counted::All);
+        let (services, arrays) = self.demand(&all);
+        let most = RENT_LIMIT * (self.cloud.level(self.now) as u32).max(1);
+        let mut rentals = wanted_rentals(&services, self.expected_rooms(Counted::Lasting), &self.types, &refused, most);
+        let left = most - rentals.iter().map(|r| r.number).sum::<u32>().min(most);
+        take_up(&services, &mut all);
+        rentals.extend(wanted_rentals(&arrays, all, &self.types, &refused, left));
+        // One request asks for so many at most.
+        let parts = |r: Rental| {
+            let n = r.number.div_ceil(RENT_LIMIT);
+            (0..n).map(move |i| Rental { number: (r.number - i * RENT_LIMIT).min(RENT_LIMIT), ..r.clone() })
+        };
+        for mut r in rentals.into_iter().flat_map(parts) {
+            // Machines on their way out are the quickest to have.
+            while let Some((pack, mut names)) = self.draining(&r.offer).filter(|_| r.number > 0 && self.may_write(1.0))
+            {
+                names.truncate(r.number as usize);
+                if !self.mark_drain(&pack, &names, false) {
+                    break;
+                }
+                r.number -= names.len() as u32;
+            }
+            if r.number == 0 {
+                continue;
+            }
+            if !self.cloud.has(self.now, 1.0) {
+                return;
+            }
+            self.cloud.spend(self.now, 1.0);
+            self.renting += 1;
+            self.charter += 1;
+            let charter = format!("fq-{}-{}", self.term(), self.charter);
+            let body = encode(&Rent {
+                charter: charter.as_str().into(),
+                build: r.offer.build.as_str().into(),
+                site: r.offer.site.as_str().into(),
+                spot: r.offer.spot,
+                number: r.number,
+            });
+            let timeout = self.report_s(2.0);
+            let purpose = Purpose::Rent { offer: r.offer, number: r.number };
+            self.call(Target::Cloud, "POST", RENT.into(), Some(body), timeout, purpose);
+        }
+    }
+
+    /// Marks machines for return once their room, or as much, stayed free for
+    /// long: they take nothing new and go when they are empty. The time is the
+    /// boot time, at which keeping a machine has cost as much as renting again.
+    /// While aims are missed cheap ones are kept for longer.
+    fn return_idle(&mut self) {
+        let now = self.now;
+        let rooms = self.rooms(true);
+        let boot = self.types.iter().map(|t| t.startup_s).fold(0.0, f64::max);
+        let waits = self.view.jobs.values().any(|j| j.waiting_count() > 0 && j.spec.form != Form::Standing);
+        if waits {
+            self.pressed_at = Some(now);
+        }
+        let plain: Vec<Room> = rooms.iter().map(|(_, r)| r.clone()).collect();
+        let thrift = usize::from(self.thrift(&plain));
+        // Missed aims are a reason to keep machines only where tasks waited of late.
+        let pressed = self.pressed_at.is_some_and(|t| now.saturating_sub(t) < self.secs(boot * PRESSED_BOOTS[thrift]));
+        let keeps = if pressed && self.aims.behind() { BEHIND_KEEPS[thrift] } else { 1.0 };
+        let free: f64 = rooms.iter().map(|(_, r)| r.free_cores()).sum();
+        self.slack.push_back((now, free));
+        // Whoever comes after a machine has to wait for a boot and an image.
+        let pull = self.types.iter().map(|t| t.pull_gb_per_s).fold(f64::MIN_POSITIVE, f64::max);
+        let images = self.view.jobs.values().map(|j| j.spec.size_gb / pull);
+        let again = boot + images.sum::<f64>() / (self.view.jobs.len() as f64).max(1.0);
+        let window = |times: f64| self.secs(again * self.set.operator.idle_boots * times);
+        let (short, long) = (window(1.0), window(keeps));
+        let longest = window(BEHIND_KEEPS[0]);
+        while self.slack.front().is_some_and(|(t, _)| now.saturating_sub(*t) > longest) {
+            self.slack.pop_front();
+        }
+        // The least that was free over a whole window; nothing before that.
+        let least = |window: Duration| {
+            let whole = self.slack.front().is_some_and(|(t, _)| now.saturating_sub(*t) + self.report_s(1.0) > window);
+            let within = self.slack.iter().rev().take_while(|(t, _)| now.saturating_sub(*t) <= window);
+            if whole { within.map(|s| s.1).fold(f64::INFINITY, f64::min) } else { 0.0 }
+        };
+        let (least_short, least_long) = (least(short), least(long));
+        let standing = |name: &str| self.view.loads.get(name).is_some_and(|l| !l.standing.is_empty());
+        let pack_busy = |h: &HostRec| self.busy.contains(&records::pack_key(&h.pack));
+        // Services are not moved for this; of the rest, the dearer kind goes
+        // first, and then the least used.
+        let mut able: Vec<&Room> = rooms
+            .iter()
+            .map(|(_, r)| r)
+            .filter(|r| {
+                r.total_cores <= if r.spot || thrift == 0 { least_long } else { least_short } && !standing(&r.machine)
+            })
+            .filter(|r| self.view.hosts.get(&r.machine).is_some_and(|h| !h.rec.base && !pack_busy(&h.rec)))
+            .collect();
+        able.sort_by(|a, b| {
+            let used = |r: &Room| r.total_cores - r.free_cores();
+            a.spot.cmp(&b.spot).then(used(a).total_cmp(&used(b))).then_with(|| b.machine.cmp(&a.machine))
+        });
+        let spare = self.writes.level(now) - self.writes.rate * SPARE_WRITES;
+        let most = if self.may_write(0.0) { spare.max(0.0) as usize } else { 0 };
+        // Machines beside a standing fleet go one by one: room that several
+        // free at once may be wanted again before new ones are up.
+        let most_machines = if thrift == 0 { 1 } else { usize::MAX };
+        let mut left = least_short.max(least_long);
+        let mut chosen: Vec<(String, f64)> = Vec::new();
+        let mut packs: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for r in able {
+            let Some(h) = self.view.hosts.get(&r.machine) else { continue };
+            if chosen.len() >= most_machines {
+                break;
+            }
+            if r.total_cores > left || (packs.len() >= most && !packs.contains_key(&h.rec.pack)) {
+                continue;
+            }
+            left -= r.total_cores;
+            chosen.push((r.machine.clone(), r.free_cores()));
+            packs.entry(h.rec.pack.clone()).or_default().push(r.machine.clone());
+        }
+        if chosen.is_empty() {
+            return;
+        }
+        let (services, arrays) = self.demand(&plain);
+        let stays = |rooms: Vec<(String, Room)>| -> Vec<Room> {
+            let gone: BTreeSet<&str> = chosen.iter().map(|c| c.0.as_str()).collect();
+            rooms.into_iter().map(|(_, r)| r).filter(|r| !gone.contains(r.machine.as_str())).collect()
+        };
+        let lasting = self.rooms_beside(true, Counted::Lasting);
+        if !fits(&services, &mut stays(lasting)) || !fits(&arrays, &mut stays(rooms)) {
+            return;
+        }
+        for (pack, names) in packs {
+            if self.mark_drain(&pack, &names, true) {
+                let cores: f64 = chosen.iter().filter(|c| names.contains(&c.0)).map(|c| c.1).sum();
+                for s in &mut self.slack {
+                    s.1 -= cores;
+                }
+            }
+        }
+    }
+
+    /// Marks machines of one pack.
+    fn mark_drain(&mut self, pack: &str, names: &[String], drain: bool) -> bool {
+        let key = records::pack_key(pack);
+        let Some(p) = self.view.packs.get(pack).filter(|_| !self.busy.contains(&key)) else { return false };
+        tracing::debug!(machines = ?names, drain, "machines marked");
+        let mut rec = self.view.in_force(p);
+        rec.drain.retain(|m| !names.contains(m));
+        if drain {
+            rec.drain.extend_from_slice(names);
+        }
+        let txn = Txn {
+            conds: vec![self.lead_cond(), Cond { key: key.clone(), entry_no: p.version }],
+            ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
+        };
+        self.txn_keyed(txn, Why::Mark);
+        true
+    }
+
+    /// Machines of a kind, in one pack, that are being drained and not released yet.
+    fn draining(&self, offer: &Offer) -> Option<(String, Vec<String>)> {
+        let same = |p: &PackRec| p.build == offer.build && p.site == offer.site && p.spot == offer.spot;
+        let mut packs =
+            self.view.packs.iter().filter(|(_, p)| !p.rec.drain.is_empty() && same(&p.rec) && self.view.held(p));
+        packs.find_map(|(pack, p)| {
+            let kept: Vec<String> = p.rec.drain.iter().filter(|m| self.view.placed.contains_key(*m)).cloned().collect();
+            let free = !self.busy.contains(&records::pack_key(pack));
+            (free && !kept.is_empty()).then(|| (pack.clone(), kept))
+        })
+    }
+}
--- /dev/null
+++ b/src/controller/leasing.rs
@@ -0,0 +1,160 @@
+//! Leases of jobs: tasks leased anew when their holder is gone or full, the
+//! queues that decide to whom, and the end of jobs whose last task is gone.
+
+use super::work::{HOPE, end_op, queued};
+use super::*;
+use crate::bookkeeping::Job;
+use crate::bookkeeping::records::{JobRec, Share};
+use crate::coordination::blocks;
+use crate::placement::Room;
+use crate::protocol::store::{Cond, Op};
+use crate::protocol::user::{Form, JobSpec, Status};
+
+impl Controller {
+    /// Ends the records of jobs whose last task is done or gone.
+    pub(super) fn close_jobs(&mut self) {
+        let mut txns = Vec::new();
+        for (uid, j) in &self.view.jobs {
+            let status = if j.withdrawn() && j.placed == 0 {
+                Status::Withdrawn
+            } else if !j.withdrawn() && j.done >= j.spec.parcels {
+                Status::Done
+            } else {
+                continue;
+            };
+            let key = records::job_key(uid);
+            if self.busy.contains(&key) {
+                continue;
+            }
+            let keys: Vec<String> = j.chunks.keys().map(|n| records::chunk_key(uid, *n)).collect();
+            let mut txn = Txn {
+                conds: vec![Cond { key, entry_no: j.rec.version }],
+                ops: vec![end_op(uid, status, j.spec.parcels)],
+            };
+            for (c, k) in j.chunks.values().zip(&keys).take(self.set.settings.state.txn_ops - 1) {
+                txn.conds.push(Cond { key: k.clone(), entry_no: c.version });
+                txn.ops.push(Op::Delete { key: k.clone() });
+            }
+            txns.push(txn);
+        }
+        for txn in txns {
+            if self.may_write(txn.ops.len() as f64) {
+                self.txn(txn, Why::Close);
+            }
+        }
+    }
+
+    /// Leases waiting tasks anew whose holder is gone, or has no room while
+    /// another block has.
+    pub(super) fn relet(&mut self) {
+        let size = self.view.chunk_size;
+        let seen = [Counted::All, Counted::Lasting].map(|c| (self.rooms_beside(true, c), self.queues(c)));
+        let members: Vec<String> = self.view.members.keys().cloned().collect();
+        let patient = self.report_s(0.25);
+        let mut txns = Vec::new();
+        for (uid, j) in &self.view.jobs {
+            if j.waiting_count() == 0 || self.busy.contains(&records::job_key(uid)) {
+                continue;
+            }
+            let shares = &j.rec.rec.shares;
+            let holder = |i: u32| shares.iter().find(|s| (s.from..=s.to).contains(&i)).map(|s| s.member.as_str());
+            let dead = shares.iter().any(|s| !self.view.members.contains_key(&s.member));
+            let waited = self
+                .patience
+                .get(uid)
+                .and_then(|p| p.waiting_since)
+                .is_some_and(|t| self.now.saturating_sub(t) > patient);
+            if !dead && !waited {
+                continue;
+            }
+            let waits = j.waiting(size);
+            let lost = dead && waits.iter().any(|i| holder(*i).is_none_or(|m| !self.view.members.contains_key(m)));
+            // The queues of all others.
+            let soon = self.counted(&j.spec) == Counted::Lasting;
+            let (rooms, queues) = &seen[usize::from(soon)];
+            let mut others = queues.clone();
+            for (m, cores) in queued(j) {
+                if let Some(q) = others.get_mut(m) {
+                    *q = (*q - cores).max(0.0);
+                }
+            }
+            let zones = self.view.zones_of(j);
+            let alike = BTreeMap::new();
+            let blocks =
+                blocks::Blocks { members: &members, rooms, queues: &others, grain: 1, zones: &zones, alike: &alike };
+            let room = blocks.room(&j.spec);
+            let fit = |m: &str| room.iter().find(|r| r.0 == m).map_or(0, |r| r.1);
+            let mut need: BTreeMap<&str, u32> = BTreeMap::new();
+            for m in waits.iter().filter_map(|i| holder(*i)) {
+                *need.entry(m).or_default() += 1;
+            }
+            let short = need.iter().any(|(m, n)| fit(m) < i64::from(*n));
+            let spare = room.iter().any(|(m, fits)| *fits > i64::from(need.get(m).copied().unwrap_or(0)));
+            let helps = short && spare;
+            if !lost && !helps {
+                continue;
+            }
+            let new = self.shares_for(&j.spec, &waits, rooms, &others, &zones);
+            if new == *shares {
+                continue;
+            }
+            let key = records::job_key(uid);
+            let rec = JobRec { shares: new, ..j.rec.rec.clone() };
+            let txn = Txn {
+                conds: vec![self.lead_cond(), Cond { key: key.clone(), entry_no: j.rec.version }],
+                ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
+            };
+            txns.push((!soon, !self.can_be_saved(j), txn));
+        }
+        txns.sort_by_key(|t| (t.0, t.1));
+        for (can_wait, _, txn) in txns {
+            // A reserve stays for accepting jobs and recording exits.
+            if self.may_write(if can_wait { self.writes.rate / 2.0 } else { 1.0 }) {
+                self.txn(txn, Why::Relet);
+            }
+        }
+    }
+
+    /// The job's leases, given everyone's rooms as `counted` says.
+    pub(super) fn shares_for(
+        &self,
+        spec: &JobSpec,
+        waits: &[u32],
+        rooms: &[(String, Room)],
+        queues: &BTreeMap<String, f64>,
+        zones: &BTreeMap<String, u32>,
+    ) -> Vec<Share> {
+        let members: Vec<String> = self.view.members.keys().cloned().collect();
+        let whole = spec.form == Form::Ensemble || spec.together || spec.apart;
+        let mut alike = BTreeMap::new();
+        let same = |j: &&Job| j.spec.bundle == spec.bundle && j.spec.uid != spec.uid && j.waiting_count() > 0;
+        for share in self.view.jobs.values().filter(same).flat_map(|j| &j.rec.rec.shares) {
+            *alike.entry(share.member.clone()).or_default() += share.to + 1 - share.from;
+        }
+        let grain = self.view.chunk_size;
+        let blocks = blocks::Blocks { members: &members, rooms, queues, grain, zones, alike: &alike };
+        blocks::lease(spec, waits, &blocks, &self.me, whole)
+    }
+
+    /// Whether the job can still meet its aim, if its tasks started now.
+    pub(super) fn can_be_saved(&self, job: &Job) -> bool {
+        let age_s = self.wall_ms().saturating_sub(job.rec.rec.at_ms) as f64 / 1000.0;
+        let needs_s = job.spec.expected_s * HOPE;
+        self.aims.end_from(&job.spec, age_s, needs_s).is_none_or(|a| a - age_s >= needs_s)
+    }
+
+    /// Cores that waiting tasks leased to each member ask for, of services
+    /// that must start soon or of all others. Late jobs do not count: they
+    /// give way.
+    pub(super) fn queues(&self, counted: Counted) -> BTreeMap<String, f64> {
+        let mut queues = BTreeMap::new();
+        for job in self.view.jobs.values().filter(|j| j.waiting_count() > 0) {
+            if self.counted(&job.spec) == counted && self.can_be_saved(job) {
+                for (member, cores) in queued(job) {
+                    *queues.entry(member.to_string()).or_default() += cores;
+                }
+            }
+        }
+        queues
+    }
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -2,9 +2,17 @@
 //! the loops that work out what to do. No sockets, no clock; `now` comes in
 //! with every event.
 
+mod blocks;
+mod commit;
+mod enrol;
+mod fleet;
 mod lead;
+mod leasing;
+mod peers;
 mod perches;
+mod quota;
 mod requests;
+mod rooms;
 mod sync;
 mod work;
 
@@ -21,7 +29,9 @@
 use crate::protocol::store::{self, Txn};
 use crate::protocol::worker::Report;
 use crate::settings::Settings;
+use commit::{Bucket, Why, Writes};
 use hdrhistogram::Histogram;
+use peers::PeerView;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
@@ -41,61 +51,6 @@
     Txn { txn: Txn, why: Why, keys: Vec<String>, sent: Instant },
 }
 
-/// What a transaction was for.
-#[derive(Debug)]
-enum Why {
-    Accept(String),
-    Withdraw(String),
-    /// Starts and exits of one job; the machines that got starts, and the
-    /// part of a limit that these took without changing the team's record.
-    Work {
-        starts: Vec<String>,
-        part: Option<(String, Amounts)>,
-    },
-    Lead,
-    Member,
-    Enrol,
-    Grant,
-    /// The end of a job whose last task is gone.
-    Close,
-    Relet,
-    /// A machine is to be drained, or not any more.
-    Mark,
-    /// A machine that was released leaves the records.
-    Forget,
-    /// A team comes near its limit.
-    Limit,
-}
-
-impl Why {
-    fn name(&self) -> &'static str {
-        match self {
-            Why::Accept(_) => "accept",
-            Why::Withdraw(_) => "withdraw",
-            Why::Work { starts, .. } if starts.is_empty() => "exits",
-            Why::Work { .. } => "starts",
-            Why::Lead => "lead",
-            Why::Member => "member",
-            Why::Enrol => "enrol",
-            Why::Grant => "grant",
-            Why::Close => "close",
-            Why::Relet => "relet",
-            Why::Mark => "mark",
-            Why::Forget => "forget",
-            Why::Limit => "limit",
-        }
-    }
-}
-
-/// Transactions of one kind since the last summary.
-#[derive(Debug, Default)]
-struct Writes {
-    sent: u32,
-    changes: usize,
-    /// Carried out nothing: a record had changed, or the store said no.
-    failed: u32,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
     Queued,
@@ -130,35 +85,6 @@
     until: Instant,
 }
 
-/// A rate limit with bursts worth one second.
-#[derive(Debug)]
-struct Bucket {
-    rate: f64,
-    level: f64,
-    at: Instant,
-}
-
-impl Bucket {
-    fn new(rate: f64) -> Bucket {
-        Bucket { rate, level: rate, at: Duration::ZERO }
-    }
-
-    fn level(&self, now: Instant) -> f64 {
-        let dt = now.saturating_sub(self.at).as_secs_f64();
-        (self.level + dt * self.rate).min(self.rate.max(1.0))
-    }
-
-    /// Whether `n` may be spent; a full bucket will do for more than it holds.
-    fn has(&self, now: Instant, n: f64) -> bool {
-        self.level(now) >= n.min(self.rate.max(1.0))
-    }
-
-    fn spend(&mut self, now: Instant, n: f64) {
-        self.level = self.level(now) - n;
-        self.at = now;
-    }
-}
-
 /// Exits of one job's tasks that are not in the store yet.
 #[derive(Debug, Default)]
 struct Change {
@@ -175,14 +101,6 @@
     }
 }
 
-#[derive(Debug)]
-struct PeerView {
-    stale_ms: u64,
-    /// Machines that reported to it, and how many milliseconds before.
-    heard: HashMap<String, u64>,
-    at: Instant,
-}
-
 #[derive(Debug)]
 struct Rented {
     offer: crate::fleet::Offer,
@@ -466,59 +384,6 @@
         );
     }
 
-    /// Tells the other controllers what is seen from here.
-    fn beat(&mut self) {
-        let keep = self.report_s(4.0);
-        let now = self.now;
-        self.heard.retain(|_, t| now.saturating_sub(*t) < keep);
-        let view = &self.view;
-        self.images.retain(|m, _| view.hosts.contains_key(m));
-        let millis = |d: Duration| d.as_millis() as u64;
-        let mut beat = Beat {
-            incarnation: self.incarnation,
-            held: Vec::new(),
-            images: Vec::new(),
-            stale_ms: self.ses.staleness(now).map_or(u64::MAX, millis),
-            heard: self.heard.iter().map(|(m, t)| (m.clone(), millis(now.saturating_sub(*t)))).collect(),
-        };
-        self.beats = self.beats.wrapping_add(1);
-        for (n, name) in self.view.hosts.keys().enumerate() {
-            if (n + self.beats).is_multiple_of(BEATS_PER_ROUND)
-                && let Some(images) = self.held_images(name).filter(|i| !i.is_empty())
-            {
-                beat.note_images(name, images.iter());
-            }
-        }
-        for other in &self.set.others {
-            let frame = Frame::Beat(beat.clone());
-            self.out.push(Action::Send { member: other.member.clone(), frame });
-        }
-    }
-
-    /// The images that a machine of any block is known to hold.
-    fn held_images(&self, machine: &str) -> Option<&Images> {
-        self.machines.get(machine).map(|m| &m.images).or_else(|| self.images.get(machine))
-    }
-
-    /// Takes in what another controller knows of images: of its machines, and
-    /// of ours from before we started.
-    fn note_images(&mut self, beat: &Beat) {
-        for (machine, images) in beat.images() {
-            if !self.view.hosts.contains_key(machine) {
-                continue;
-            }
-            let known = match self.machines.get_mut(machine) {
-                Some(m) => &mut m.images,
-                None => self.images.entry(machine.to_string()).or_default(),
-            };
-            for image in images {
-                if !known.contains(image) {
-                    std::rc::Rc::make_mut(known).insert(image.clone());
-                }
-            }
-        }
-    }
-
     fn secs(&self, s: f64) -> Duration {
         Duration::from_secs_f64(s.max(0.0))
     }
@@ -573,40 +438,6 @@
         id
     }
 
-    /// Whether `n` changes may be written now that could also wait.
-    fn may_write(&self, n: f64) -> bool {
-        self.now >= self.write_after && self.writes.has(self.now, n)
-    }
-
-    /// Sends a transaction; its keys are left alone until it is answered.
-    fn txn(&mut self, txn: Txn, why: Why) {
-        let mut keys: Vec<String> = txn.conds.iter().map(|c| c.key.clone()).collect();
-        keys.retain(|k| !k.starts_with("fq/h/") && !k.starts_with("fq/b/") && k != records::LEAD_KEY);
-        // A team's record that is only looked at keeps nobody else from it.
-        let written = |k: &str| txn.ops.iter().any(|op| matches!(op, store::Op::Put { key, .. } if key == k));
-        keys.retain(|k| !k.starts_with(records::TEAMS) || written(k));
-        self.send_txn(txn, why, keys);
-    }
-
-    /// Sends a transaction that keeps `keys` busy until it is answered.
-    fn send_txn(&mut self, txn: Txn, why: Why, keys: Vec<String>) {
-        self.writes.spend(self.now, txn.ops.len() as f64);
-        let written = self.written.entry(why.name()).or_default();
-        written.sent += 1;
-        written.changes += txn.ops.len();
-        self.busy.extend(keys.iter().cloned());
-        let body = crate::protocol::encode(&txn);
-        let timeout = self.report_s(1.0);
-        self.call(
-            Target::State,
-            "POST",
-            store::TXN.into(),
-            Some(body),
-            timeout,
-            Purpose::Txn { txn, why, keys, sent: self.now },
-        );
-    }
-
     fn answer(&mut self, id: CallId, purpose: Purpose, result: Result<Reply, NoAnswer>) {
         match purpose {
             Purpose::Lease | Purpose::Renew | Purpose::Scan | Purpose::Follow | Purpose::Barrier => {
@@ -628,71 +459,6 @@
         }
     }
 
-    fn txn_answer(&mut self, txn: Txn, why: Why, result: Result<Reply, NoAnswer>) {
-        let ledger = |r: &Reply| crate::protocol::decode::<store::Ledger>(&r.body).ok().map(|l| l.ledger_no);
-        let done = match &result {
-            Ok(r) if r.status == 200 => ledger(r),
-            _ => None,
-        };
-        if let Some(revision) = done {
-            for op in &txn.ops {
-                // Deletes wait for the watch: it could still bring an older put.
-                if let store::Op::Put { key, data, .. } = op {
-                    self.view.put(key, data, revision);
-                }
-            }
-            self.dirty = true;
-        }
-        let status = result.as_ref().map_or(0, |r| r.status);
-        if done.is_none() && status != 409 {
-            self.write_after = self.now + self.report_s(0.1);
-        }
-        if done.is_none() {
-            self.written.entry(why.name()).or_default().failed += 1;
-            let changed = result.as_ref().ok().and_then(|r| crate::protocol::decode::<store::Ledger>(&r.body).ok());
-            let changed = changed.map(|l| l.failed).unwrap_or_default();
-            tracing::debug!(status, ?why, ?changed, "transaction not carried out");
-        }
-        if done.is_some() {
-            self.record_changed(&txn);
-        }
-        match why {
-            Why::Accept(uid) => {
-                let beaten = result.ok().filter(|r| r.status == 409).and_then(|r| ledger(&r));
-                self.accept_answer(&uid, done.is_some(), status, beaten);
-            }
-            Why::Withdraw(uid) => self.withdraw_answer(&uid, done.is_some(), status),
-            Why::Work { starts, part } => {
-                self.dirty = true;
-                if let Some((team, amounts)) = part {
-                    let carried_out = result.as_ref().ok().map(|r| r.status == 200);
-                    self.parts.entry(team).or_default().answered(amounts, carried_out, self.now);
-                }
-                if let Ok(r) = result.as_ref()
-                    && r.status == 409
-                    && let (Some(revision), Some(c)) = (ledger(r), txn.conds.first())
-                {
-                    self.outdated.insert(c.key.clone(), revision);
-                }
-                if done.is_some() {
-                    for m in starts {
-                        self.push(&m);
-                    }
-                }
-            }
-            Why::Lead if done.is_some() => {
-                let term = self.view.lead.as_ref().map_or(0, |l| l.rec.term);
-                self.epoch = 0;
-                self.charter = 0;
-                self.list_at = None;
-                tracing::info!(term, member = %self.me, "took the lead");
-            }
-            Why::Enrol => self.enrol_rentals(),
-            _ => {}
-        }
-        self.view_changed();
-    }
-
     fn note_end(&mut self, spec: &crate::protocol::user::JobSpec, at_ms: u64) {
         // What came while the first machines were still to boot says nothing
         // of their number.
@@ -748,8 +514,6 @@
     }
 }
 
-/// So many beats tell of the images of all machines.
-const BEATS_PER_ROUND: usize = 4;
 /// Longer transactions count as this long in the summary.
 const LONGEST_TXN_MS: u64 = 60_000;
 /// Part of the store's writes that is used: renewals and repeats need some.
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -1,24 +1,18 @@
 //! Jobs leased to this controller: placing their waiting tasks, and writing
 //! down starts and exits. A start is sent only once its place is in the store.
 
+use super::quota::{FAR_FROM_LIMIT, affordable, limited};
 use super::*;
 use crate::bookkeeping::Job;
-use crate::bookkeeping::records::{ChunkRec, Place, Share, add_to_ranges, count_ranges, in_ranges};
-use crate::coordination::blocks;
+use crate::bookkeeping::records::{ChunkRec, Place, add_to_ranges, count_ranges, in_ranges};
 use crate::coordination::parts::Limit;
 use crate::placement::{Room, Rules, Start, Victim, Waiting, plan, preempt, zone_room};
 use crate::protocol::store::{Cond, Op};
-use crate::protocol::user::{Form, JobSpec, Status};
-use crate::settings::Team;
+use crate::protocol::user::{Form, Status};
 
 /// Estimates are often wrong by half: a job counts as late once its aim would
 /// be missed by a run of this part of the estimate.
 pub(super) const HOPE: f64 = 0.7;
-/// Below this part of its limit a team's starts need not exclude each other.
-const FAR_FROM_LIMIT: f64 = 0.25;
-/// Of an image that should have come, this part is taken to be still missing:
-/// rates vary by a third.
-const LEAST_TO_COME: f64 = 0.2;
 /// Tasks wait for this part of the places that should come free where their
 /// image is before it could be fetched elsewhere.
 const STAYS: f64 = 0.5;
@@ -264,131 +258,6 @@
         self.txn(txn, Why::Work { starts: started.into_iter().collect(), part });
     }
 
-    /// Rooms on this controller's machines, or on everyone's with their owners.
-    pub(super) fn rooms(&self, everyone: bool) -> Vec<(String, Room)> {
-        self.rooms_beside(everyone, Counted::All)
-    }
-
-    /// The same, counting only some of the tasks.
-    pub(super) fn rooms_beside(&self, everyone: bool, counted: Counted) -> Vec<(String, Room)> {
-        let silent = self.report_s(2.5);
-        let now = self.now;
-        let mut rooms = Vec::new();
-        for (name, h) in &self.view.hosts {
-            let mine = self.owns(h);
-            let Some(t) = self.machine_type(&h.rec.build) else { continue };
-            if h.rec.drain || (!mine && !everyone) || !self.view.owned(&h.rec) || !self.is_up(name) {
-                continue;
-            }
-            let mut room = Room::empty(name, t, &h.rec.site, h.rec.spot);
-            if mine {
-                let Some(m) = self.machines.get(name) else { continue };
-                let quiet = self.now.saturating_sub(m.heard_at.unwrap_or(m.owned_since));
-                let ready = m.heard_at.is_some() && quiet < silent && m.warrant == m.token();
-                // One that has just joined cannot take tasks yet, but it is
-                // there: left out of the reckoning it would be rented again.
-                let there = if everyone { quiet < silent * 2 } else { ready };
-                if !there || m.recall_s.is_some() || m.releasing || m.shut_until > self.now {
-                    continue;
-                }
-                // What runs there though it should not takes room as well.
-                let placed = self.view.placed.get(name);
-                for s in m.tasks.iter().filter(|s| s.state != crate::protocol::worker::TaskState::Exited) {
-                    if placed.is_none_or(|p| !p.contains_key(&(s.task.job.clone(), s.task.index))) {
-                        match self.view.jobs.get(&s.task.job) {
-                            Some(j) => room.take(&j.spec, 1),
-                            None => room.cores = 0.0,
-                        }
-                    }
-                }
-            }
-            if let Some(load) = self.view.loads.get(name) {
-                let mut takes = load.all;
-                if counted == Counted::Lasting {
-                    takes.cores -= load.arrays.cores;
-                    takes.gpus -= load.arrays.gpus;
-                    takes.mem_gb -= load.arrays.mem_gb;
-                }
-                room.arrays = load.arrays;
-                room.cores -= takes.cores;
-                room.gpus -= takes.gpus;
-                room.mem_gb -= takes.mem_gb;
-                room.images[0] = load.images.clone();
-            }
-            if !mine && let Some(images) = self.images.get(name) {
-                room.images[1] = images.clone();
-            }
-            if let Some(m) = self.machines.get(name).filter(|_| mine) {
-                room.images[1] = m.images.clone();
-                if let Some(load) = self.view.loads.get(name) {
-                    let coming = load.bundles.iter().filter(|(i, _)| !m.images.contains(*i));
-                    room.fetching_gb = coming
-                        .map(|(i, b)| {
-                            let since = m.fetches.get(i).map_or(now, |t| *t);
-                            let came = now.saturating_sub(since).as_secs_f64() * t.pull_gb_per_s;
-                            (b.size_gb - came).max(b.size_gb * LEAST_TO_COME)
-                        })
-                        .sum();
-                }
-                // Freed room counts at once, not only when the exit is stored.
-                let placed = self.view.placed.get(name);
-                for (job, index, attempt) in m.over() {
-                    if let Some(j) = self.view.jobs.get(job)
-                        && placed.is_some_and(|p| p.get(&(job.clone(), *index)) == Some(attempt))
-                        && (counted == Counted::All || j.spec.form != Form::Batch)
-                    {
-                        room.put_back(&j.spec);
-                    }
-                }
-            }
-            rooms.push((h.rec.owner.clone(), room));
-        }
-        rooms
-    }
-
-    /// What a team uses of its limits, in CPUs and GPUs. Places count until
-    /// it is proved that the task is gone, on unreachable machines too.
-    fn used(&self, team: &Team) -> (Limit, Limit) {
-        let mut used = Amounts::default();
-        for j in self.view.jobs.values().filter(|j| j.spec.desk == team.name) {
-            used.add(&j.spec, f64::from(j.placed));
-        }
-        (Limit { used: used.cores, max: team.cpus_max }, Limit { used: used.gpus, max: team.gpus_max })
-    }
-
-    /// What is left of them.
-    fn allowance(&self, team: &Team) -> (f64, f64) {
-        let left = |l: Limit| if l.max > 0.0 { l.max - l.used } else { f64::INFINITY };
-        let (cpus, gpus) = self.used(team);
-        (left(cpus), left(gpus))
-    }
-
-    /// From here on every start of the team changes its record. The view that
-    /// shows this change shows all starts that did not.
-    fn near_limit(&mut self, key: String, version: u64) {
-        if self.busy.contains(&key) {
-            return;
-        }
-        let rec = records::TeamRec { strict: true, count: self.next_call };
-        let txn = Txn {
-            conds: vec![Cond { key: key.clone(), entry_no: version }],
-            ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
-        };
-        self.txn(txn, Why::Limit);
-    }
-
-    /// A transaction that changed teams' records was carried out.
-    pub(super) fn record_changed(&mut self, txn: &Txn) {
-        for op in &txn.ops {
-            if let Op::Put { key, .. } = op
-                && let Some(team) = key.strip_prefix(records::TEAMS)
-                && let Some(parts) = self.parts.get_mut(team)
-            {
-                parts.record_changed();
-            }
-        }
-    }
-
     fn plan_starts(&mut self) -> Vec<Start> {
         let now = self.now;
         let size = self.view.chunk_size;
@@ -620,55 +489,6 @@
             self.push(&m);
         }
     }
-
-    /// A service goes where its image is, even if arrays must make room there.
-    pub(super) fn counted(&self, spec: &JobSpec) -> Counted {
-        let soon = spec.form == Form::Standing && self.aims.start_within(spec).is_some();
-        if soon { Counted::Lasting } else { Counted::All }
-    }
-
-    /// The job's leases, given everyone's rooms as `counted` says.
-    pub(super) fn shares_for(
-        &self,
-        spec: &JobSpec,
-        waits: &[u32],
-        rooms: &[(String, Room)],
-        queues: &BTreeMap<String, f64>,
-        zones: &BTreeMap<String, u32>,
-    ) -> Vec<Share> {
-        let members: Vec<String> = self.view.members.keys().cloned().collect();
-        let whole = spec.form == Form::Ensemble || spec.together || spec.apart;
-        let mut alike = BTreeMap::new();
-        let same = |j: &&Job| j.spec.bundle == spec.bundle && j.spec.uid != spec.uid && j.waiting_count() > 0;
-        for share in self.view.jobs.values().filter(same).flat_map(|j| &j.rec.rec.shares) {
-            *alike.entry(share.member.clone()).or_default() += share.to + 1 - share.from;
-        }
-        let grain = self.view.chunk_size;
-        let blocks = blocks::Blocks { members: &members, rooms, queues, grain, zones, alike: &alike };
-        blocks::lease(spec, waits, &blocks, &self.me, whole)
-    }
-
-    /// Whether the job can still meet its aim, if its tasks started now.
-    pub(super) fn can_be_saved(&self, job: &Job) -> bool {
-        let age_s = self.wall_ms().saturating_sub(job.rec.rec.at_ms) as f64 / 1000.0;
-        let needs_s = job.spec.expected_s * HOPE;
-        self.aims.end_from(&job.spec, age_s, needs_s).is_none_or(|a| a - age_s >= needs_s)
-    }
-
-    /// Cores that waiting tasks leased to each member ask for, of services
-    /// that must start soon or of all others. Late jobs do not count: they
-    /// give way.
-    pub(super) fn queues(&self, counted: Counted) -> BTreeMap<String, f64> {
-        let mut queues = BTreeMap::new();
-        for job in self.view.jobs.values().filter(|j| j.waiting_count() > 0) {
-            if self.counted(&job.spec) == counted && self.can_be_saved(job) {
-                for (member, cores) in queued(job) {
-                    *queues.entry(member.to_string()).or_default() += cores;
-                }
-            }
-        }
-        queues
-    }
 }
 
 /// Cores that the job's waiting tasks ask for, by the member they are leased
@@ -682,15 +502,6 @@
     chunks.entry(n).or_insert_with(|| job.chunks.get(&n).map(|c| c.rec.clone()).unwrap_or_default())
 }
 
-fn limited(t: &Team) -> bool {
-    t.cpus_max > 0.0 || t.gpus_max > 0.0
-}
-
-fn affordable(spec: &JobSpec, cpus: f64, gpus: f64, n: usize) -> usize {
-    let times = |left: f64, each: f64| if each > 0.0 { ((left + 1e-9) / each).floor().max(0.0) } else { f64::INFINITY };
-    (times(cpus, spec.cores).min(times(gpus, spec.gpus)) as usize).min(n)
-}
-
 pub(super) fn end_op(uid: &str, status: Status, parcels: u32) -> Op {
     let rec = records::JobRec { spec: None, end: Some(status), parcels, at_ms: 0, shares: Vec::new() };
     Op::Put { key: records::job_key(uid), data: records::to_value(&rec), lease: None }
