--- a/crates/rehearsal/src/suite.rs
+++ b/crates/rehearsal/src/suite.rs
@@ -33,6 +33,7 @@
     item!("lost-job", Recorded),
     item!("lost-tasks", Recorded),
     item!("lost-machines", Recorded),
+    item!("lost-control", Recorded),
     item!("lost-any", Recorded),
     item!("lost-tail", Recorded),
 ];
