--- a/crates/hclfile/src/lib.rs
+++ b/crates/hclfile/src/lib.rs
@@ -26,6 +26,8 @@
     path: PathBuf,
     text: String,
     body: Body,
+    /// What holds where this file says nothing.
+    base: Option<Box<File>>,
 }
 
 impl File {
@@ -41,16 +43,38 @@
             line: e.location().line(),
             what: one_line(e.message()),
         })?;
-        Ok(File { path: path.into(), text, body })
+        Ok(File { path: path.into(), text, body, base: None })
     }
 
-    /// Reads the whole file as `T`.
-    pub fn typed<T: DeserializeOwned>(&self) -> Result<T, HclError> {
-        let value: serde_json::Value = hcl::from_str(&self.text).map_err(|e| HclError::Syntax {
+    /// Lays this file over another: blocks and keys of both hold, and where
+    /// both have one, this file's does.
+    pub fn over(mut self, base: File) -> File {
+        self.base = Some(Box::new(base));
+        self
+    }
+
+    /// The text of a key at the top, if it has one.
+    pub fn top(&self, key: &str) -> Option<&str> {
+        self.body.get_attribute(key)?.value.as_str()
+    }
+
+    fn value(&self) -> Result<serde_json::Value, HclError> {
+        let mut value: serde_json::Value = hcl::from_str(&self.text).map_err(|e| HclError::Syntax {
             file: self.path.clone(),
             line: 1,
             what: one_line(&e.to_string()),
         })?;
+        if let Some(base) = &self.base {
+            let mut under = base.value()?;
+            lay_over(&mut under, value);
+            value = under;
+        }
+        Ok(value)
+    }
+
+    /// Reads the whole file as `T`.
+    pub fn typed<T: DeserializeOwned>(&self) -> Result<T, HclError> {
+        let value = self.value()?;
         serde_path_to_error::deserialize(value).map_err(|e| {
             let mut path: Vec<String> = e
                 .path()
@@ -77,7 +101,11 @@
     /// The error for a key that parsed but can't be: `path` is its way from
     /// the top, by keys, block labels and positions in lists.
     pub fn refuse(&self, path: &[&str], what: impl Into<String>) -> HclError {
-        let at = locate_body(&self.body, path).unwrap_or(0);
+        let at = match (locate_body(&self.body, path), &self.base) {
+            (Some(at), _) => at,
+            (None, Some(base)) if locate_body(&base.body, path).is_some() => return base.refuse(path, what),
+            (None, _) => 0,
+        };
         let line = self.text.get(..at).map_or(1, |t| t.matches('\n').count() + 1);
         let key = if path.is_empty() { "file".to_string() } else { path.join(".") };
         HclError::Key { file: self.path.clone(), line, key, what: what.into() }
@@ -148,6 +176,22 @@
     }
 }
 
+fn lay_over(under: &mut serde_json::Value, over: serde_json::Value) {
+    match (under, over) {
+        (serde_json::Value::Object(under), serde_json::Value::Object(over)) => {
+            for (key, value) in over {
+                match under.get_mut(&key) {
+                    Some(u) => lay_over(u, value),
+                    None => {
+                        under.insert(key, value);
+                    }
+                }
+            }
+        }
+        (under, over) => *under = over,
+    }
+}
+
 fn one_line(text: &str) -> String {
     let parts: Vec<&str> = text.lines().map(str::trim).filter(|l| !l.is_empty()).collect();
     parts.join(" ")
@@ -201,4 +245,17 @@
             assert!(line.starts_with(start) && line.contains(part) && !line.contains('\n'), "{line}");
         }
     }
+
+    #[test]
+    fn a_file_over_another_adds_and_replaces_and_errors_name_the_right_one() {
+        let base = || File::parse(Path::new("base.hcl"), "name = \"b\"\njob \"a\" {\n  tasks = 1\n}\n".into()).unwrap();
+        let over = |text: &str| File::parse(Path::new("over.hcl"), text.into()).unwrap().over(base());
+        let good = over("name = \"o\"\njob \"b\" {\n  tasks = 2\n}\n");
+        let read: Outer = good.typed().unwrap();
+        assert_eq!((read.name.as_str(), read.job.len(), good.top("name")), ("o", 2, Some("o")));
+        assert_eq!(good.refuse(&["job", "a", "tasks"], "x").to_string(), "base.hcl:3: job.a.tasks: x");
+        assert_eq!(good.refuse(&["job", "b", "tasks"], "x").to_string(), "over.hcl:3: job.b.tasks: x");
+        let bad = over("\njob \"a\" {\n  tasks = -1\n}\n").typed::<Outer>().unwrap_err().to_string();
+        assert!(bad.starts_with("over.hcl:3: job.a.tasks: "), "{bad}");
+    }
 }
--- a/crates/rehearsal/src/history.rs
+++ b/crates/rehearsal/src/history.rs
@@ -199,3 +199,16 @@
     }
     Ok(out)
 }
+
+/// Between the end of one run on a folder and the start of the next, as the
+/// joined histories tell it, in seconds.
+const BETWEEN_S: f64 = 1.0;
+
+/// Puts the history of a later run on the same state behind an earlier one,
+/// whose times come to lie before 0: a rule may be broken across runs.
+pub fn join(mut earlier: Vec<Line>, later: Vec<Line>) -> Vec<Line> {
+    let shift = earlier.last().map_or(0.0, |l| l.t + BETWEEN_S);
+    earlier.iter_mut().for_each(|l| l.t -= shift);
+    earlier.extend(later);
+    earlier
+}
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -84,8 +84,11 @@
         #[arg(long, value_name = "DIR", default_value = "rehearsal-suite")]
         out: PathBuf,
     },
-    /// Judge a history.
-    Check { history: PathBuf },
+    /// Judge a history, or those of several runs on one folder in their order.
+    Check {
+        #[arg(required = true)]
+        history: Vec<PathBuf>,
+    },
     /// Write a report of a history anew.
     Report {
         history: PathBuf,
@@ -177,7 +180,11 @@
         }
         Verb::Suite { common, names, jobs, out } => play_suite(common, names, jobs.max(1), &out).await,
         Verb::Check { history } => {
-            let verdict = checker::check(&history::read(&history)?);
+            let mut lines = Vec::new();
+            for file in &history {
+                lines = history::join(lines, history::read(file)?);
+            }
+            let verdict = checker::check(&lines);
             print!("{}", report::verdict_text(&verdict));
             Ok(code(verdict.holds()))
         }
@@ -378,7 +385,7 @@
 
 /// Leaves the report beside the history.
 fn leave(dir: &Path, outcome: &Outcome) -> Result<Report, MainError> {
-    let report = report::report(&outcome.lines);
+    let report = report::judged(&outcome.lines, outcome.verdict.clone());
     write_report(dir, &report)?;
     Ok(report)
 }
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -89,7 +89,12 @@
 
 /// Works out the report of a history.
 pub fn report(lines: &[Line]) -> Report {
-    let mut r = Report { verdict: check(lines), ..Report::default() };
+    judged(lines, check(lines))
+}
+
+/// The same, where more than these lines was judged.
+pub fn judged(lines: &[Line], verdict: Verdict) -> Report {
+    let mut r = Report { verdict, ..Report::default() };
     let mut first: HashMap<&str, (f64, &str)> = HashMap::new();
     let mut times: BTreeMap<&str, Times> = BTreeMap::new();
     let (mut accepted, mut done, mut started) = (HashSet::new(), HashSet::new(), HashSet::new());
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -97,7 +97,8 @@
 pub async fn play(options: Options, stop: impl Future<Output = ()>) -> Result<Outcome, RunError> {
     let dir = &options.dir;
     std::fs::create_dir_all(dir).map_err(|cause| RunError::File { file: dir.clone(), cause })?;
-    let earlier = Earlier::read(dir)?;
+    let mut earlier = Earlier::read(dir)?;
+    let earlier_lines = std::mem::take(&mut earlier.lines);
     let history = dir.join(format!("history-{}.jsonl", earlier.session));
     let recorder = Recorder::create(&history, options.watcher)?;
     let scenario = options.scenario;
@@ -180,7 +181,7 @@
     }
     recorder.flush().map_err(|cause| RunError::File { file: history.clone(), cause })?;
     let lines = history::read(&history)?;
-    let verdict = checker::check(&lines);
+    let verdict = checker::check(&history::join(earlier_lines, lines.clone()));
     Ok(Outcome { history, lines, verdict })
 }
 
@@ -263,11 +264,20 @@
     done: Vec<(String, u32)>,
     /// Jobs without an end that their user knows, and whether it wants them gone.
     open: Vec<(String, bool)>,
+    /// Their histories, at times before 0: a rule may be broken across runs.
+    lines: Vec<Line>,
 }
 
 impl Earlier {
     fn read(dir: &Path) -> Result<Earlier, HistoryError> {
-        let mut out = Earlier { session: 1, machines: 0, descriptions: Vec::new(), done: Vec::new(), open: Vec::new() };
+        let mut out = Earlier {
+            session: 1,
+            machines: 0,
+            descriptions: Vec::new(),
+            done: Vec::new(),
+            open: Vec::new(),
+            lines: Vec::new(),
+        };
         let mut jobs: BTreeMap<String, (bool, bool)> = BTreeMap::new();
         let mut ended: HashSet<String> = HashSet::new();
         loop {
@@ -276,7 +286,9 @@
                 break;
             }
             out.session += 1;
-            for line in history::read(&file)? {
+            let lines = history::read(&file)?;
+            out.lines = history::join(std::mem::take(&mut out.lines), lines.clone());
+            for line in lines {
                 match line.event {
                     Event::Job { spec } => {
                         let standing = spec.form == Form::Standing;
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -9,6 +9,8 @@
 use std::path::Path;
 use std::time::Duration;
 
+/// The site that the suite's scenarios lie over.
+const SITE: &str = include_str!("../scenarios/site.hcl");
 /// z of the 95th percentile of the normal distribution.
 const Z95: f64 = 1.6449;
 
@@ -16,6 +18,9 @@
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
     pub name: String,
+    /// A file beside this one that it lies over: what it does not say holds from there.
+    #[serde(default)]
+    pub base: Option<String>,
     /// Users submit for so long.
     pub duration_s: f64,
     /// Afterwards everything has so long to come to its end.
@@ -406,12 +411,25 @@
 
 impl Scenario {
     pub fn read(path: &Path) -> Result<Scenario, HclError> {
-        Scenario::judged(&File::read(path)?)
+        let file = File::read(path)?;
+        let base = match file.top("base") {
+            Some(base) => Some(File::read(&path.with_file_name(base))?),
+            None => None,
+        };
+        Scenario::judged(&match base {
+            Some(base) => file.over(base),
+            None => file,
+        })
     }
 
-    /// A scenario whose text comes with the program; `name` stands for its file.
+    /// A scenario whose text comes with the program; `name` stands for its
+    /// file, and a base is the site that comes along.
     pub fn parse(name: &str, text: &str) -> Result<Scenario, HclError> {
-        Scenario::judged(&File::parse(Path::new(name), text.into())?)
+        let file = File::parse(Path::new(name), text.into())?;
+        Scenario::judged(&match file.top("base") {
+            Some(base) => File::parse(Path::new(base), SITE.into()).map(|b| file.over(b))?,
+            None => file,
+        })
     }
 
     fn judged(file: &File) -> Result<Scenario, HclError> {
