--- a/tests/rehearsal.rs
+++ b/tests/rehearsal.rs
@@ -2,9 +2,13 @@
 //! controller, a killed state service, a machine that dies, a late write.
 //! Bounded to well under a minute; ports are free ones.
 
+use finchquay_client::Client;
+use finchquay_protocol::user::{JobSpec, Status};
 use finchquay_rehearsal::run::{Options, play};
 use finchquay_rehearsal::scenario::Scenario;
+use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
+use std::time::Duration;
 
 const SHORT: &str = r#"
 name = "short"
@@ -80,18 +84,30 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn every_accepted_job_gets_one_final_answer() {
     let dir = tempfile::tempdir().unwrap();
+    let front = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).unwrap();
     let options = Options {
         scenario: Scenario::parse("short", SHORT).unwrap(),
         seed: 5,
         dir: dir.path().to_path_buf(),
         controller: Path::new(env!("CARGO_BIN_EXE_finchquay")).into(),
         public_port: 0,
-        front: None,
+        front: Some(front),
         watcher: None,
     };
+    let guest = tokio::spawn(guest(front));
     let outcome = play(options, std::future::pending()).await.unwrap();
+    assert_eq!(guest.await.unwrap(), Status::Done, "a job beside the load, through the way in");
     let v = &outcome.verdict;
     assert!(v.holds() && v.settled, "{:#?}", v.violations);
     assert!(v.accepted >= 10 && v.accepted == v.told_done + v.told_withdrawn, "{v:?}");
     assert!(v.tasks_done >= 20, "{v:?}");
 }
+
+/// A user beside the load, as `finchquayctl` is one.
+async fn guest(front: SocketAddr) -> Status {
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let client = Client::new([front]).unwrap();
+    let spec = JobSpec { desk: "t".into(), expected_s: 1.0, ..JobSpec::example("run-777000001") };
+    client.submit(&spec).await.unwrap();
+    client.wait(&spec.uid, Some(Duration::from_secs(25))).await.unwrap().status
+}
