--- a/crates/rehearsal/scenarios/lost-tail.hcl
+++ b/crates/rehearsal/scenarios/lost-tail.hcl
@@ -5,7 +5,7 @@
 
 fault "tail" {
   kind = "tail_lost"
-  at_s = 20
+  at_s = 19.8
   count = 20
 }
 
