--- a/crates/hclfile/src/lib.rs
+++ b/crates/hclfile/src/lib.rs
@@ -110,10 +110,6 @@
         let key = if path.is_empty() { "file".to_string() } else { path.join(".") };
         HclError::Key { file: self.path.clone(), line, key, what: what.into() }
     }
-
-    pub fn path(&self) -> &Path {
-        &self.path
-    }
 }
 
 /// Byte offset of the deepest part of `path` that the body has.
--- a/crates/rehearsal/src/cluster.rs
+++ b/crates/rehearsal/src/cluster.rs
@@ -72,7 +72,7 @@
 }
 
 /// A port that is free on an address, or an error if `wanted` is not.
-fn port(ip: Ipv4Addr, wanted: u16) -> Result<SocketAddr, ClusterError> {
+pub fn port(ip: Ipv4Addr, wanted: u16) -> Result<SocketAddr, ClusterError> {
     let address = SocketAddr::from((ip, wanted));
     let at = StdListener::bind(address).and_then(|l| l.local_addr());
     at.map_err(|cause| ClusterError::Address { address, cause })
--- a/crates/rehearsal/src/front.rs
+++ b/crates/rehearsal/src/front.rs
@@ -4,13 +4,14 @@
 
 use crate::history::{Asked, Event, Recorder};
 use crate::http::{self, Connection, Reply, Request};
+use crate::lock;
 use crate::machine::driver::Driver;
 use crate::machine::worker::Description;
 use finchquay_protocol::user::{Form, JobSpec, JobState, Route, route};
 use finchquay_protocol::{BODY_LIMIT, decode};
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
 
@@ -75,7 +76,7 @@
     }
 
     fn known(&self) -> std::sync::MutexGuard<'_, HashSet<String>> {
-        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.known)
     }
 
     /// What the owner estimates is how long the tasks take here.
--- a/crates/rehearsal/src/history.rs
+++ b/crates/rehearsal/src/history.rs
@@ -2,13 +2,14 @@
 //! saw, one JSON line each, in the order it happened. The checker and the
 //! reports read it and nothing else.
 
+use crate::lock;
 use finchquay_protocol::user::{JobSpec, Status};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{BufRead, BufReader, BufWriter, Write};
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
@@ -165,7 +166,7 @@
     }
 
     pub fn record(&self, event: Event) {
-        let mut sink = self.shared.sink.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut sink = lock(&self.shared.sink);
         // Under the lock, so that times never go back from line to line.
         let t = self.now().as_secs_f64().max(sink.last);
         sink.last = t;
@@ -179,7 +180,7 @@
     }
 
     pub fn flush(&self) -> std::io::Result<()> {
-        self.shared.sink.lock().unwrap_or_else(PoisonError::into_inner).out.flush()
+        lock(&self.shared.sink).out.flush()
     }
 }
 
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -17,3 +17,9 @@
 pub mod state;
 pub mod suite;
 pub mod view;
+
+/// Locks what must stay usable after a panic elsewhere: every change to it is
+/// whole when the lock is given back.
+pub fn lock<T>(m: &std::sync::Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
--- a/crates/rehearsal/src/load.rs
+++ b/crates/rehearsal/src/load.rs
@@ -4,17 +4,18 @@
 //! submitted, and some submit a job again that is over.
 
 use crate::history::{Asked, Event, Recorder};
+use crate::lock;
 use crate::machine::driver::Driver;
 use crate::machine::worker::Description;
-use crate::scenario::{Kind, Load, Scenario, Urgency};
+use crate::scenario::{Kind, Load, Scenario};
 use finchquay_client::{Attempt, Client, ClientError, Observer, Operation, Times};
-use finchquay_protocol::user::{Form, JobSpec, Urgency as WireUrgency};
+use finchquay_protocol::user::{Form, JobSpec};
 use rand::rngs::StdRng;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::task::JoinSet;
 
@@ -82,12 +83,7 @@
             Kind::Gang => Form::Ensemble,
             Kind::Service => Form::Standing,
         },
-        urgency: match l.urgency {
-            Urgency::Idle => WireUrgency::Idle,
-            Urgency::Standard => WireUrgency::Standard,
-            Urgency::Urgent => WireUrgency::Urgent,
-            Urgency::Production => WireUrgency::Production,
-        },
+        urgency: l.urgency,
         parcels: tasks,
         cores: l.cpus,
         gpus: l.gpus,
@@ -176,7 +172,7 @@
             continue;
         }
         let uid = {
-            let over = over.lock().unwrap_or_else(PoisonError::into_inner);
+            let over = lock(&over);
             (!over.is_empty()).then(|| over[rand::random_range(0..over.len())].clone())
         };
         if let Some(uid) = uid {
@@ -215,7 +211,7 @@
     if end.is_err() {
         return;
     }
-    over.lock().unwrap_or_else(PoisonError::into_inner).push(spec.uid.clone());
+    lock(over).push(spec.uid.clone());
     tokio::time::sleep(Duration::from_secs_f64(rng.random_range(0.5..4.0))).await;
     if rng.random_bool(REPEATED) {
         let _ = client.submit(spec).await;
--- a/crates/rehearsal/src/machine/driver.rs
+++ b/crates/rehearsal/src/machine/driver.rs
@@ -6,11 +6,12 @@
 use super::worker::{Happening, Traits};
 use crate::history::{Event, Recorder};
 use crate::http::{self, Connection, Reply, Request};
+use crate::lock;
 use finchquay_protocol::worker::{Answer, Push, Redirect};
 use finchquay_protocol::{BODY_LIMIT, decode, encode};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
@@ -88,11 +89,11 @@
     }
 
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
-        self.shared.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.shared.fleet)
     }
 
     fn running(&self) -> MutexGuard<'_, HashMap<String, Running>> {
-        self.shared.running.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.shared.running)
     }
 
     pub fn cut(&self, change: impl FnOnce(&mut Cuts)) {
--- a/crates/rehearsal/src/machine/worker.rs
+++ b/crates/rehearsal/src/machine/worker.rs
@@ -159,10 +159,6 @@
         std::mem::take(&mut self.changed)
     }
 
-    pub fn tasks(&self) -> usize {
-        self.tasks.values().filter(|t| t.state != TaskState::Exited).count()
-    }
-
     pub fn running(&self) -> usize {
         self.tasks.values().filter(|t| t.state == TaskState::Running).count()
     }
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -10,13 +10,13 @@
 use finchquay_rehearsal::state::{machine::Limits, probe, service as state};
 use finchquay_rehearsal::suite::{self, Expect};
 use finchquay_rehearsal::view::Model;
-use finchquay_rehearsal::{checker, cluster};
+use finchquay_rehearsal::{checker, cluster, lock};
 use std::io::IsTerminal;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
@@ -283,11 +283,11 @@
 fn plain_watcher(model: Arc<Mutex<Model>>) -> Watcher {
     let last = Mutex::new(0.0f64);
     Box::new(move |line: &Line| {
-        let mut m = model.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut m = lock(&model);
         if let Some(news) = m.take(line) {
             println!("{news}");
         }
-        let mut last = last.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut last = lock(&last);
         if line.t >= *last + 5.0 {
             *last = line.t;
             println!("{}", m.summary());
@@ -318,7 +318,7 @@
     let watcher: Watcher = if screen {
         let model = model.clone();
         Box::new(move |line| {
-            model.lock().unwrap_or_else(PoisonError::into_inner).take(line);
+            lock(&model).take(line);
         })
     } else {
         plain_watcher(model.clone())
@@ -357,7 +357,7 @@
     use crossterm::event::{Event, KeyCode, KeyModifiers, poll, read};
     let mut terminal = ratatui::init();
     while !closed.load(Ordering::SeqCst) {
-        let drawn = terminal.draw(|f| model.lock().unwrap_or_else(PoisonError::into_inner).draw(f));
+        let drawn = terminal.draw(|f| lock(model).draw(f));
         if drawn.is_err() {
             break;
         }
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -87,6 +87,12 @@
     done: Histogram<u64>,
 }
 
+impl Times {
+    fn new() -> Times {
+        Times { accept: histogram(), start: histogram(), done: histogram() }
+    }
+}
+
 /// Works out the report of a history.
 pub fn report(lines: &[Line]) -> Report {
     judged(lines, check(lines))
@@ -117,8 +123,7 @@
                 let name = status.map_or("none".to_string(), |s| s.to_string());
                 *r.answers.entry(name).or_default() += 1;
                 let Some((since, class)) = first.get(uid.as_str()) else { continue };
-                let entry = || Times { accept: histogram(), start: histogram(), done: histogram() };
-                let times = times.entry(class).or_insert_with(entry);
+                let times = times.entry(class).or_insert_with(Times::new);
                 if *asked == Asked::Submit && matches!(status, Some(200 | 201)) && accepted.insert(uid.as_str()) {
                     times.accept.saturating_record(ms(*since));
                 }
@@ -130,8 +135,7 @@
                 if started.insert((job.as_str(), *index))
                     && let Some((since, class)) = first.get(job.as_str())
                 {
-                    let entry = || Times { accept: histogram(), start: histogram(), done: histogram() };
-                    times.entry(class).or_insert_with(entry).start.saturating_record(ms(*since));
+                    times.entry(class).or_insert_with(Times::new).start.saturating_record(ms(*since));
                 }
             }
             Event::Stop { cause, .. } => *r.stops.entry(cause.clone()).or_default() += 1,
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -3,11 +3,12 @@
 use crate::checker::{self, Verdict};
 use crate::cloud::machine::{Cloud, Config as CloudConfig, Fault as CloudFault, Happening, Offer};
 use crate::cloud::service;
-use crate::cluster::{Cluster, ClusterError, bind};
+use crate::cluster::{Cluster, ClusterError, bind, port};
 use crate::front::Front;
 use crate::history::{self, Event, Facts, HistoryError, Line, Recorder, Watcher};
 use crate::http;
 use crate::load;
+use crate::lock;
 use crate::machine::driver::{Driver, Node};
 use crate::machine::fleet::Fleet;
 use crate::machine::worker::{Description, Traits};
@@ -24,7 +25,7 @@
 use std::collections::{BTreeMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -89,10 +90,6 @@
     places: Vec<(String, SocketAddr)>,
 }
 
-fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Plays a scenario to its end, or until `stop` comes.
 pub async fn play(options: Options, stop: impl Future<Output = ()>) -> Result<Outcome, RunError> {
     let dir = &options.dir;
@@ -123,7 +120,7 @@
         cluster.places.iter().map(|p| Node { member: p.member.clone(), zone: p.zone.clone(), address: p.public });
     let report = Scenario::seconds(scenario.workers.report_s);
     let driver = Driver::new(fleet, nodes.collect(), report, recorder.clone());
-    let worker_port = free_worker_port()?;
+    let worker_port = port(Ipv4Addr::new(127, 1, 0, 1), 0)?.port();
     let cloud = Cloud::new(cloud_config(&scenario, worker_port), rng.random(), earlier.machines);
     let jobs = load::plan(&scenario, earlier.session, &mut rng);
     let faults = scenario.faults(&mut rng);
@@ -222,12 +219,6 @@
     }
 }
 
-fn free_worker_port() -> Result<u16, ClusterError> {
-    let address = SocketAddr::from((Ipv4Addr::new(127, 1, 0, 1), 0));
-    let at = std::net::TcpListener::bind(address).and_then(|l| l.local_addr());
-    at.map(|a| a.port()).map_err(|cause| ClusterError::Address { address, cause })
-}
-
 fn cloud_config(s: &Scenario, worker_port: u16) -> CloudConfig {
     let offer = |(label, m): (&String, &crate::scenario::MachineType)| Offer {
         kind: MachineType {
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -2,6 +2,7 @@
 //! here; the rest of the program sees only values that passed.
 
 use finchquay_hcl::{File, HclError};
+use finchquay_protocol::user::Urgency;
 use rand::{Rng, RngExt};
 use rand_distr::{Distribution, Exp, LogNormal};
 use serde::Deserialize;
@@ -152,23 +153,13 @@
     Service,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Urgency {
-    Idle,
-    #[default]
-    Standard,
-    Urgent,
-    Production,
-}
-
 /// One class of jobs that users submit.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Load {
     pub kind: Kind,
     pub team: String,
-    #[serde(default)]
+    #[serde(default = "standard")]
     pub urgency: Urgency,
     /// Jobs that are there at once when it begins.
     #[serde(default)]
@@ -209,6 +200,10 @@
     1
 }
 
+fn standard() -> Urgency {
+    Urgency::Standard
+}
+
 /// A named distribution; negative draws count as 0.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(rename_all = "lowercase", deny_unknown_fields)]
