Rehearsal: starts of all controllers in the report, served shares by class and team

Change: the report has a line for each start of all controllers (time to the first answer, machines returned, tasks lapsed, changes); the checker counts submitted, accepted, started, served and in time by class and by team and breaks `unserved` under half.

--- a/crates/rehearsal/src/checker.rs
+++ b/crates/rehearsal/src/checker.rs
@@ -25,6 +25,8 @@
     NothingRan,
     /// An accepted job that came to no end in the time it had.
     NoFinalAnswer,
+    /// Less than half of what a class or a team submitted was served.
+    Unserved,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -34,6 +36,20 @@
     pub what: String,
 }
 
+/// What became of the jobs of one class or team.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Served {
+    pub submitted: u64,
+    pub accepted: u64,
+    /// At least one task of it started.
+    pub started: u64,
+    /// Told done, withdrawn in its course, or a service that started.
+    pub served: u64,
+    /// Done within its deadline, of those that have one.
+    pub in_time: u64,
+    pub with_deadline: u64,
+}
+
 /// What the checker found, and what it counted on the way.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Verdict {
@@ -51,6 +67,8 @@
     pub done_again: u64,
     /// Writes that the state service lost, by kind of record.
     pub lost: BTreeMap<String, u64>,
+    /// By class and by team, `class portal` and `team intake`.
+    pub served: BTreeMap<String, Served>,
     pub settled: bool,
 }
 
@@ -63,6 +81,8 @@
 #[derive(Debug, Default)]
 struct Job {
     spec: Option<JobSpec>,
+    submitted: f64,
+    started: bool,
     accepted: Option<f64>,
     withdraw_asked: bool,
     told: Option<(Status, f64)>,
@@ -114,7 +134,8 @@
             Event::Began { facts, .. } => self.facts = facts.clone(),
             Event::Job { spec } => {
                 self.verdict.submitted += 1;
-                self.jobs.entry(spec.uid.clone()).or_default().spec = Some(spec.clone());
+                let job = self.jobs.entry(spec.uid.clone()).or_default();
+                (job.spec, job.submitted) = (Some(spec.clone()), t);
             }
             Event::Call { asked, uid, began_s, status, state, .. } => {
                 self.call(t, *asked, uid, *began_s, *status, *state);
@@ -246,6 +267,7 @@
         let elsewhere = job.on.get(&index).and_then(|m| m.iter().find(|m| *m != machine)).cloned();
         let late = job.told.filter(|(s, at)| *s == Status::Withdrawn && t > at + self.facts.cancel_s + SLACK_S);
         job.on.entry(index).or_default().insert(machine.to_string());
+        job.started = true;
         let others: Vec<String> =
             job.on.iter().filter(|(i, _)| **i != index).flat_map(|(_, m)| m.iter().cloned()).collect();
         if let Some(other) = elsewhere {
@@ -318,7 +340,11 @@
 
     fn over(&mut self, t: f64, settled: bool) {
         self.verdict.settled = settled;
+        self.count_served();
         let mut found = Vec::new();
+        for (who, s) in self.verdict.served.iter().filter(|(_, s)| settled && s.served * 2 < s.submitted) {
+            found.push((Rule::Unserved, format!("{who}: {} of {} jobs served", s.served, s.submitted)));
+        }
         for (uid, job) in &self.jobs {
             let Some(spec) = job.spec.as_ref().filter(|_| job.accepted.is_some()) else { continue };
             if let Some((Status::Withdrawn, at)) = job.told
@@ -340,6 +366,26 @@
     }
 }
 
+impl Checker {
+    fn count_served(&mut self) {
+        for job in self.jobs.values() {
+            let Some(spec) = &job.spec else { continue };
+            let done = job.told.filter(|(s, _)| *s == Status::Done);
+            let standing = spec.form == Form::Standing && job.started;
+            for who in [format!("class {}", spec.docket), format!("team {}", spec.desk)] {
+                let s = self.verdict.served.entry(who).or_default();
+                s.submitted += 1;
+                s.accepted += u64::from(job.accepted.is_some());
+                s.started += u64::from(job.started);
+                s.served += u64::from(job.told.is_some() || standing);
+                s.with_deadline += u64::from(spec.due_s.is_some());
+                let in_time = spec.due_s.zip(done).is_some_and(|(due, (_, at))| at - job.submitted <= due);
+                s.in_time += u64::from(in_time);
+            }
+        }
+    }
+}
+
 /// Kind of record that a key of the service holds: its first two parts.
 fn kind(key: &str) -> String {
     let parts: Vec<&str> = key.split('/').take(2).collect();
@@ -452,7 +498,9 @@
         assert!(with(11, unasked).contains(&Rule::WentBack));
         let mut idle = sound();
         idle.retain(|l| !matches!(l.event, Event::Start { .. } | Event::Stop { .. } | Event::Call { .. }));
-        assert_eq!(check(&idle).violations[0].rule, Rule::NothingRan);
+        let rules: Vec<Rule> = check(&idle).violations.iter().map(|v| v.rule).collect();
+        // Neither the class nor the team was served, as nothing ran.
+        assert_eq!(rules, [Rule::Unserved, Rule::Unserved, Rule::NothingRan]);
         let mut endless = sound();
         endless.remove(13);
         assert_eq!(check(&endless).violations[0].rule, Rule::NoFinalAnswer);
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -58,6 +58,29 @@
     pub requests_per_s: f64,
 }
 
+/// One start of controllers after a time in which none ran.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// When the first of them started.
+    pub at_s: f64,
+    /// Since the last one ended.
+    pub down_s: f64,
+    /// Until a user got an answer that was no refusal.
+    pub first_answer_s: Option<f64>,
+    /// In the 30 s after it: machines that controllers returned, and that came up.
+    pub returned: u64,
+    pub came_up: u64,
+    /// Tasks that started, and those that their leases ended, from the last
+    /// controller's end on.
+    pub starts: u64,
+    pub lapsed: u64,
+    /// Changes of the state service in its busiest second of those 30.
+    pub most_changes_per_s: f64,
+}
+
+/// How long after a start what happens is put down to it.
+const AFTER_START_S: f64 = 30.0;
+
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     pub scenario: String,
@@ -70,6 +93,8 @@
     /// Answers that users got, by status; `none` is no answer.
     pub answers: BTreeMap<String, u64>,
     pub faults: Vec<(f64, String, bool)>,
+    #[serde(default)]
+    pub cold_starts: Vec<ColdStart>,
     pub controllers: BTreeMap<String, Process>,
     pub spent: f64,
     pub curve: Vec<Point>,
@@ -184,10 +209,56 @@
     for (name, (before, now)) in cpu {
         r.controllers.entry(name).or_default().cpu = (before + now) / r.seconds.max(1.0);
     }
+    r.cold_starts = cold_starts(lines, &r.curve);
     r.tasks_done_per_s = r.verdict.tasks_done as f64 / r.seconds.max(1.0);
     r
 }
 
+/// The starts of all controllers, but for the first.
+fn cold_starts(lines: &[Line], curve: &[Point]) -> Vec<ColdStart> {
+    let mut running: HashSet<&str> = HashSet::new();
+    let (mut ended, mut lapsed) = (None, 0);
+    let mut out: Vec<ColdStart> = Vec::new();
+    for line in lines {
+        let t = line.t;
+        match &line.event {
+            Event::Controller { controller, what } if what == "started" => {
+                if running.is_empty()
+                    && let Some(since) = ended.take()
+                {
+                    out.push(ColdStart { at_s: t, down_s: t - since, lapsed, ..ColdStart::default() });
+                }
+                running.insert(controller);
+            }
+            Event::Controller { controller, .. } => {
+                running.remove(controller.as_str());
+                if running.is_empty() {
+                    (ended, lapsed) = (Some(t), 0);
+                }
+            }
+            Event::Stop { cause, .. } if cause == "lapsed" && running.is_empty() => lapsed += 1,
+            event => {
+                let Some(c) = out.last_mut().filter(|c| t < c.at_s + AFTER_START_S) else { continue };
+                match event {
+                    Event::Call { status: Some(200 | 201), .. } if c.first_answer_s.is_none() => {
+                        c.first_answer_s = Some(t - c.at_s);
+                    }
+                    Event::MachineGone { why, .. } => c.returned += u64::from(why == "released"),
+                    Event::MachineUp { .. } => c.came_up += 1,
+                    Event::Start { .. } => c.starts += 1,
+                    Event::Stop { cause, .. } => c.lapsed += u64::from(cause == "lapsed"),
+                    _ => {}
+                }
+            }
+        }
+    }
+    for c in &mut out {
+        let after = curve.iter().filter(|p| p.t >= c.at_s && p.t < c.at_s + AFTER_START_S);
+        c.most_changes_per_s = after.map(|p| p.changes_per_s).fold(0.0, f64::max);
+    }
+    out
+}
+
 /// Seconds with as many digits as they deserve.
 fn s(ms: f64) -> String {
     if ms < 10_000.0 { format!("{:.2}", ms / 1000.0) } else { format!("{:.1}", ms / 1000.0) }
@@ -223,6 +294,25 @@
     if !v.lost.is_empty() {
         out += &format!("writes lost on purpose, by kind of record: {:?}\n", v.lost);
     }
+    for c in &r.cold_starts {
+        out += &format!(
+            "start of all controllers at {:.1} s after {:.1} s: first answer after {:.1} s; in 30 s {} machines returned, {} came up, {} tasks started, {} lapsed, {:.0} changes in the busiest second\n",
+            c.at_s,
+            c.down_s,
+            c.first_answer_s.unwrap_or(f64::INFINITY),
+            c.returned,
+            c.came_up,
+            c.starts,
+            c.lapsed,
+            c.most_changes_per_s
+        );
+    }
+    for (who, x) in &v.served {
+        out += &format!(
+            "{who}: {} jobs, {} accepted, {} started, {} served, {} of {} in time\n",
+            x.submitted, x.accepted, x.started, x.served, x.in_time, x.with_deadline
+        );
+    }
     let names: Vec<&str> = r.faults.iter().filter(|(_, _, on)| *on).map(|(_, n, _)| n.as_str()).collect();
     out += &format!("faults: {}\n", if names.is_empty() { "none".to_string() } else { names.join(", ") });
     out + &verdict_text(v)
