Cold start: phases, squaring as a closed table, one policy for retries

Need: all controllers go down together and come back. Found: idle machines that nobody had heard yet were returned as never come up; the first controller back took every machine, one write each; a lease refused in an outage was asked for again only after a quarter of its time; a task's waiting began anew with the process. Change: src/recovery (phase: what needs the fleet waits until nine of ten machines were heard or a lease ran; square: every pair of stored and shown is a case with one act, used by orders and reports alike), src/retry (pauses with full jitter, a breaker a side, places to come back for users that are put off). A vacant lead is taken at once. In an outage of all, nodes stay healthy for the load balancer as long as no peer is better off. A result shown where no place is stored is kept until it is stored.

--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -196,6 +196,8 @@
     pub revision: u64,
     pub chunk_size: u32,
     pub members: Versions<MemberRec>,
+    /// Counts the changes of members and of the lead.
+    pub members_changed: u64,
     pub lead: Option<Versioned<LeadRec>>,
     pub term: Option<Versioned<TermRec>>,
     pub packs: Versions<PackRec>,
@@ -229,8 +231,14 @@
     pub fn put(&mut self, key: &str, data: &Value, version: u64) {
         match parse_key(key) {
             Some(Key::Term) => keep(&mut self.term, data, version),
-            Some(Key::Lead) => keep(&mut self.lead, data, version),
-            Some(Key::Member(name)) => keep_named(&mut self.members, name, data, version),
+            Some(Key::Lead) => {
+                self.members_changed += 1;
+                keep(&mut self.lead, data, version);
+            }
+            Some(Key::Member(name)) => {
+                self.members_changed += 1;
+                keep_named(&mut self.members, name, data, version);
+            }
             Some(Key::Host(name)) => {
                 let old = self.packs.get(name).map_or(Vec::new(), |p| p.rec.machines.clone());
                 keep_named(&mut self.packs, name, data, version);
@@ -387,8 +395,14 @@
     pub fn delete(&mut self, key: &str, version: u64) {
         match parse_key(key) {
             Some(Key::Term) => forget(&mut self.term, version),
-            Some(Key::Lead) => forget(&mut self.lead, version),
-            Some(Key::Member(name)) => forget_named(&mut self.members, name, version),
+            Some(Key::Lead) => {
+                self.members_changed += 1;
+                forget(&mut self.lead, version);
+            }
+            Some(Key::Member(name)) => {
+                self.members_changed += 1;
+                forget_named(&mut self.members, name, version);
+            }
             Some(Key::Host(name)) => {
                 let old = self.packs.get(name).map_or(Vec::new(), |p| p.rec.machines.clone());
                 forget_named(&mut self.packs, name, version);
--- a/src/controller/blocks.rs
+++ b/src/controller/blocks.rs
@@ -30,10 +30,14 @@
             };
             self.txn_keyed(txn, Why::Grant);
         }
+        if !self.start.members_known() {
+            return; // whoever comes back gets its block whole
+        }
         let now = self.now;
         let limit = self.set.settings.state.txn_ops.min(self.writes.level(self.now) as usize).max(1);
-        let deaf = self.deaf_machines();
-        let level = self.now >= self.level_next;
+        let known = self.start.fleet_known();
+        let deaf = if known { self.deaf_machines() } else { Vec::new() };
+        let level = known && self.now >= self.level_next;
         let mut moves = wanted_moves(&self.view, &deaf, level && now >= self.gather_next, limit);
         if moves.is_empty() && level {
             moves = self.gather_moves();
@@ -76,10 +80,8 @@
     fn gather_moves(&self) -> Vec<blocks::Move> {
         // Until then machines that were rented for it may still come up together.
         let boot = self.types.iter().map(|t| t.startup_s).fold(0.0, f64::max);
-        let waits = |uid: &String| {
-            let since = self.patience.get(uid).and_then(|p| p.waiting_since);
-            since.is_some_and(|t| self.now.saturating_sub(t) > self.secs(boot))
-        };
+        let waits =
+            |uid: &String| self.patience.get(uid).and_then(|p| p.waited(self.now)).is_some_and(|t| t > self.secs(boot));
         let whole = |j: &Job| j.spec.form == Form::Ensemble && j.spec.parcels > 1 && j.placed == 0;
         let mut gangs: Vec<&Job> = self
             .view
--- a/src/controller/commit.rs
+++ b/src/controller/commit.rs
@@ -90,7 +90,7 @@
 impl Controller {
     /// Whether `n` changes may be written now that could also wait.
     pub(super) fn may_write(&self, n: f64) -> bool {
-        self.now >= self.write_after && self.writes.has(self.now, n)
+        self.retry.may(Retry::Write, self.now) && self.writes.has(self.now, n)
     }
 
     /// Sends a transaction; its keys are left alone until it is answered.
@@ -138,9 +138,6 @@
             self.dirty = true;
         }
         let status = result.as_ref().map_or(0, |r| r.status);
-        if done.is_none() && status != 409 {
-            self.write_after = self.now + self.report_s(0.1);
-        }
         if done.is_none() {
             self.written.entry(why.name()).or_default().failed += 1;
             let changed = result.as_ref().ok().and_then(|r| crate::protocol::decode::<store::Ledger>(&r.body).ok());
--- a/src/controller/fleet.rs
+++ b/src/controller/fleet.rs
@@ -29,7 +29,8 @@
 
 impl Controller {
     pub(super) fn fetch_types(&mut self) {
-        if self.types_busy || self.now < self.types_next && !self.types.is_empty() || !self.cloud.has(self.now, 1.0) {
+        let due = self.now >= self.types_next || self.types.is_empty();
+        if self.types_busy || !due || !self.may_ask(Retry::Catalog) {
             return;
         }
         self.types_busy = true;
@@ -46,7 +47,7 @@
         }
         let lag = self.secs(self.set.settings.cloud.list_lag_s * FLEET_LAG_SHARE);
         self.fleet_next = now + self.report_s(0.25).min(lag);
-        if !self.list_busy && now >= self.list_next && self.cloud.has(now, 1.0) {
+        if !self.list_busy && now >= self.list_next && self.may_ask(Retry::List) {
             self.list_busy = true;
             self.cloud.spend(self.now, 1.0);
             self.list_new.clear();
@@ -56,9 +57,19 @@
             return;
         }
         self.refused.retain(|_, until| *until > now);
-        self.return_strays();
+        // A machine is a stray only once every worker had the time to come.
+        if self.start.all_came() {
+            self.return_strays();
+        }
         self.rent();
-        self.return_idle();
+        if self.start.fleet_known() {
+            self.return_idle();
+        }
+    }
+
+    /// Whether the cloud may be asked something now.
+    pub(super) fn may_ask(&self, purpose: Retry) -> bool {
+        self.retry.may(purpose, self.now) && self.cloud.has(self.now, 1.0)
     }
 
     fn list_page(&mut self, after: &str) {
@@ -77,7 +88,7 @@
                     self.types = c.builds;
                     self.dirty = true;
                 } else {
-                    self.types_next = self.now + self.report_s(0.5);
+                    self.types_next = self.now; // as soon as the retry policy allows
                 }
             }
             Purpose::List => {
@@ -176,7 +187,7 @@
             }
         }
         names.truncate(RELEASE_LIMIT);
-        if !names.is_empty() && self.cloud.has(self.now, 1.0) {
+        if !names.is_empty() && self.may_ask(Retry::Release) {
             tracing::info!(machines = names.len(), reason = "never came up", "machines are returned");
             self.release(names);
         }
@@ -318,7 +329,7 @@
     }
 
     fn rent(&mut self) {
-        if self.renting > 0 || !self.cloud.has(self.now, 1.0) {
+        if self.renting > 0 || !self.may_ask(Retry::Rent) {
             return;
         }
         let refused: BTreeSet<Offer> = self.refused.keys().cloned().collect();
@@ -326,6 +337,8 @@
         let (services, arrays) = self.demand(&all);
         let most = RENT_LIMIT * (self.cloud.level(self.now) as u32).max(1);
         let mut rentals = wanted_rentals(&services, self.expected_rooms(Counted::Lasting), &self.types, &refused, most);
+        // What stands free for arrays is not known before the fleet is.
+        let arrays = if self.start.fleet_known() { arrays } else { Vec::new() };
         let left = most - rentals.iter().map(|r| r.number).sum::<u32>().min(most);
         take_up(&services, &mut all);
         rentals.extend(wanted_rentals(&arrays, all, &self.types, &refused, left));
@@ -347,7 +360,7 @@
             if r.number == 0 {
                 continue;
             }
-            if !self.cloud.has(self.now, 1.0) {
+            if !self.may_ask(Retry::Rent) {
                 return;
             }
             self.cloud.spend(self.now, 1.0);
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -9,12 +9,11 @@
 impl Controller {
     pub(super) fn lead_tick(&mut self) {
         let now = self.now;
-        if self.types.is_empty() || now >= self.types_next {
-            self.fetch_types();
-        }
-        if now < self.lead_next {
+        // A lead that fell vacant, or a controller that came, waits for no interval.
+        if now < self.lead_next && self.lead_seen == self.view.members_changed {
             return;
         }
+        self.lead_seen = self.view.members_changed;
         self.lead_next = now + self.report_s(0.1);
         if !self.am_leader() {
             self.claim();
--- a/src/controller/leasing.rs
+++ b/src/controller/leasing.rs
@@ -58,12 +58,9 @@
             }
             let shares = &j.rec.rec.shares;
             let holder = |i: u32| shares.iter().find(|s| (s.from..=s.to).contains(&i)).map(|s| s.member.as_str());
-            let dead = shares.iter().any(|s| !self.view.members.contains_key(&s.member));
-            let waited = self
-                .patience
-                .get(uid)
-                .and_then(|p| p.waiting_since)
-                .is_some_and(|t| self.now.saturating_sub(t) > patient);
+            let dead = self.start.members_known() && shares.iter().any(|s| !self.view.members.contains_key(&s.member));
+            let waited = self.start.fleet_known()
+                && self.patience.get(uid).and_then(|p| p.waited(self.now)).is_some_and(|t| t > patient);
             if !dead && !waited {
                 continue;
             }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -13,6 +13,7 @@
 mod quota;
 mod requests;
 mod rooms;
+mod start;
 mod sync;
 mod work;
 
@@ -28,6 +29,8 @@
 use crate::protocol::peer::{Beat, Frame};
 use crate::protocol::store::{self, Txn};
 use crate::protocol::worker::Report;
+use crate::recovery::phase::Start;
+use crate::retry::{Outcome, Purpose as Retry, Retries, Returns};
 use crate::settings::Settings;
 use commit::{Bucket, Why, Writes};
 use hdrhistogram::Histogram;
@@ -51,6 +54,59 @@
     Txn { txn: Txn, why: Why, keys: Vec<String>, sent: Instant },
 }
 
+impl Purpose {
+    /// What the retry policy knows it as; pushes to workers are voided, not repeated.
+    fn retry(&self) -> Option<Retry> {
+        Some(match self {
+            Purpose::Lease => Retry::Lease,
+            Purpose::Renew => Retry::Renew,
+            Purpose::Scan => Retry::Load,
+            Purpose::Follow => Retry::Watch,
+            Purpose::Barrier => Retry::Barrier,
+            Purpose::Catalog => Retry::Catalog,
+            Purpose::List => Retry::List,
+            Purpose::Rent { .. } => Retry::Rent,
+            Purpose::Release { .. } => Retry::Release,
+            Purpose::Txn { .. } => Retry::Write,
+            Purpose::Push { .. } => return None,
+        })
+    }
+}
+
+/// How a call ended, for the retry policy.
+fn outcome(purpose: Retry, result: &Result<Reply, NoAnswer>) -> Outcome {
+    match result {
+        Err(NoAnswer) => Outcome::Failed,
+        Ok(r) if r.status == 429 => Outcome::Limited,
+        // A cloud that has no more of one offer is well.
+        Ok(r) if r.status == 503 && purpose == Retry::Rent => {
+            let error = crate::protocol::decode::<crate::protocol::user::ErrorBody>(&r.body);
+            let none = error.is_ok_and(|e| e.error == NO_CAPACITY);
+            if none { Outcome::Answered } else { Outcome::Failed }
+        }
+        Ok(r) if r.status == 503 => Outcome::Failed,
+        Ok(_) => Outcome::Answered,
+    }
+}
+
+/// The shortest pauses after a failure, as ratios to the settings.
+fn pauses(set: &Settings, ttl: Duration, gap: Duration) -> Vec<(Retry, Duration)> {
+    let report = Duration::from_secs_f64(set.settings.workers.report_s);
+    let lag = Duration::from_secs_f64(set.settings.cloud.list_lag_s);
+    vec![
+        (Retry::Lease, gap * 2),
+        (Retry::Renew, ttl / 16),
+        (Retry::Load, gap),
+        (Retry::Watch, gap * 2),
+        (Retry::Barrier, gap * 2),
+        (Retry::Write, report / 10),
+        (Retry::Catalog, report / 4),
+        (Retry::List, lag / 8),
+        (Retry::Rent, report / 4),
+        (Retry::Release, report / 4),
+    ]
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
     Queued,
@@ -111,6 +167,9 @@
 #[derive(Debug, Default)]
 struct Patience {
     waiting_since: Option<Instant>,
+    /// How long it had waited by then, of a job that was known before this
+    /// process was: its age goes on where the one before left off.
+    before: Duration,
     failures: u32,
     not_before: Instant,
 }
@@ -125,6 +184,9 @@
     next_call: CallId,
     calls: HashMap<CallId, Purpose>,
     ses: Session,
+    start: Start,
+    /// When the last tick was.
+    ticked_at: Instant,
     view: View,
     scan: View,
     types: Vec<MachineType>,
@@ -172,9 +234,11 @@
     summary_next: Instant,
     perches_next: Instant,
     fleet_next: Instant,
-    /// After a refusal by the state service, writes that can wait do.
-    write_after: Instant,
+    retry: Retries,
+    returns: Returns,
     lead_next: Instant,
+    /// The state of the view's members that the lead was last looked at in.
+    lead_seen: u64,
     relet_next: Instant,
     level_next: Instant,
     /// Not before then are blocks levelled: machines were brought together.
@@ -206,6 +270,13 @@
     release_at: Instant,
 }
 
+impl Patience {
+    /// How long the job has waited, if it does.
+    fn waited(&self, now: Instant) -> Option<Duration> {
+        self.waiting_since.map(|t| now.saturating_sub(t) + self.before)
+    }
+}
+
 impl Controller {
     /// `incarnation` tells this process from earlier ones of the same name;
     /// `wall` is the time of day at the start.
@@ -225,6 +296,8 @@
             next_call: 1,
             calls: HashMap::new(),
             ses: Session::new(ttl, gap),
+            start: Start::new(Duration::from_secs_f64(p.workers.lease_s)),
+            ticked_at: Duration::ZERO,
             view: View::new(chunk),
             scan: View::new(chunk),
             types: Vec::new(),
@@ -261,8 +334,10 @@
             summary_next: Duration::ZERO,
             perches_next: Duration::ZERO,
             fleet_next: Duration::ZERO,
-            write_after: Duration::ZERO,
+            returns: Returns::default(),
+            retry: Retries::new(incarnation, pauses(&set, ttl, gap)),
             lead_next: Duration::ZERO,
+            lead_seen: 0,
             relet_next: Duration::ZERO,
             level_next: Duration::ZERO,
             gather_next: Duration::ZERO,
@@ -315,23 +390,28 @@
     }
 
     fn tick(&mut self) {
+        self.pause_tick();
         self.sync_tick();
         self.requests_tick();
+        if self.types.is_empty() || self.now >= self.types_next {
+            self.fetch_types();
+        }
+        if self.now >= self.beat_next {
+            self.beat_next = self.now + self.secs(self.set.settings.workers.report_s / 2.0);
+            self.beat();
+        }
         if !self.ses.following() {
             return;
         }
         self.share_limits();
         if self.now >= self.perches_next {
             self.perches_next = self.now + self.report_s(0.1);
+            self.start_tick();
             self.perches_tick();
             self.work_tick();
             self.note_overdue();
         }
         self.lead_tick();
-        if self.now >= self.beat_next {
-            self.beat_next = self.now + self.secs(self.set.settings.workers.report_s / 2.0);
-            self.beat();
-        }
         if self.now >= self.summary_next {
             self.summary_next = self.now + self.report_s(4.0);
             self.summary();
@@ -359,6 +439,10 @@
         let (p50, p99) = (self.txn_ms.value_at_quantile(0.5), self.txn_ms.value_at_quantile(0.99));
         tracing::debug!(count = self.txn_ms.len(), p50, p99, "transactions took, in ms");
         self.txn_ms.reset();
+        let failed = self.retry.take_counts();
+        if !failed.is_empty() {
+            tracing::debug!(?failed, "calls that failed");
+        }
         if !self.am_leader() {
             return;
         }
@@ -439,6 +523,9 @@
     }
 
     fn answer(&mut self, id: CallId, purpose: Purpose, result: Result<Reply, NoAnswer>) {
+        if let Some(retry) = purpose.retry() {
+            self.retry.ended(retry, outcome(retry, &result), self.now);
+        }
         match purpose {
             Purpose::Lease | Purpose::Renew | Purpose::Scan | Purpose::Follow | Purpose::Barrier => {
                 self.sync_answer(purpose, result);
@@ -514,6 +601,8 @@
     }
 }
 
+/// What the cloud says where it has no more machines of an offer.
+const NO_CAPACITY: &str = "no capacity";
 /// Longer transactions count as this long in the summary.
 const LONGEST_TXN_MS: u64 = 60_000;
 /// Part of the store's writes that is used: renewals and repeats need some.
--- a/src/controller/peers.rs
+++ b/src/controller/peers.rs
@@ -14,6 +14,13 @@
     pub(super) at: Instant,
 }
 
+impl PeerView {
+    /// How old its view was when it told so.
+    pub(super) fn stale(&self) -> Duration {
+        Duration::from_millis(self.stale_ms)
+    }
+}
+
 impl Controller {
     /// Tells the other controllers what is seen from here.
     pub(super) fn beat(&mut self) {
@@ -21,7 +28,9 @@
         let now = self.now;
         self.heard.retain(|_, t| now.saturating_sub(*t) < keep);
         let view = &self.view;
-        self.images.retain(|m, _| view.hosts.contains_key(m));
+        if self.ses.following() {
+            self.images.retain(|m, _| view.hosts.contains_key(m));
+        }
         let millis = |d: Duration| d.as_millis() as u64;
         let mut beat = Beat {
             incarnation: self.incarnation,
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -2,14 +2,15 @@
 //! get, and giving up those that fell silent.
 
 use super::*;
-use crate::bookkeeping::Placements;
 use crate::bookkeeping::records::Place;
+use crate::bookkeeping::{Job, Placements};
 use crate::fleet::given_up_after_s;
 use crate::placement::{Room, zone_room};
 use crate::protocol::cloud::{RELEASE, RELEASE_LIMIT, Release};
 use crate::protocol::encode;
 use crate::protocol::user::Form;
 use crate::protocol::worker::{Answer, Cause, Push, Redirect, TaskState};
+use crate::recovery::square::{Case, Shown, Stored, case};
 
 /// A worker waits this long for an answer, then a little to try the next node.
 const WORKER_MOVES_S: f64 = 4.0 + 1.0 + 0.5;
@@ -59,6 +60,7 @@
         m.heard_at = Some(now);
         self.look(&name);
         let (wanted, kept) = self.wanted(&name);
+        self.note_squared(&name, &wanted, &kept);
         let Some(m) = self.machines.get_mut(&name) else { return };
         let orders = m.orders(&wanted, &kept);
         m.answered_at = Some(now);
@@ -129,7 +131,7 @@
 
     /// What shall run on the machine, and all that is placed there.
     fn wanted(&self, name: &str) -> (Placements, Placements) {
-        let kept = self.view.placed.get(name).cloned().unwrap_or_default();
+        let mut kept = self.view.placed.get(name).cloned().unwrap_or_default();
         let live = |job: &str| self.view.jobs.get(job).is_some_and(|j| !j.withdrawn());
         let mut wanted = kept.clone();
         let m = self.machines.get(name);
@@ -137,6 +139,15 @@
             let key = (job.clone(), *index, *attempt);
             live(job) && m.is_none_or(|m| !m.preempted.contains_key(&key) && !m.gone.contains(&key))
         });
+        // A result that came while nobody listened counts wherever it is shown,
+        // and the worker keeps it until it is stored.
+        let size = self.view.chunk_size;
+        for s in m.iter().flat_map(|m| &m.tasks).filter(|s| s.cause == Some(Cause::Done)) {
+            let lacks = |j: &Job| !j.withdrawn() && !j.is_done(s.task.index, size) && s.task.index < j.spec.parcels;
+            if s.state == TaskState::Exited && self.view.jobs.get(&s.task.job).is_some_and(lacks) {
+                kept.entry((s.task.job.clone(), s.task.index)).or_insert(s.attempt);
+            }
+        }
         (wanted, kept)
     }
 
@@ -163,29 +174,32 @@
             if s.state == TaskState::Fetching && !m.images.contains(&j.spec.bundle) {
                 m.fetches.entry(j.spec.bundle.clone()).or_insert(now);
             }
-            if s.state != TaskState::Exited {
+            let stored = Stored::of(&wanted, &kept, &key, s.attempt);
+            // A gang that is placed whole comes, whoever gave up waiting for it.
+            let comes = j.spec.form == Form::Ensemble && j.placed == j.spec.parcels && !j.withdrawn();
+            let gone = match case(stored, Shown::of(s.state, s.cause), comes) {
+                Case::Finished => {
+                    if index < j.spec.parcels && !j.is_done(index, size) && !j.withdrawn() {
+                        // A gang completes together: the reports of the others may
+                        // be lost with their machines.
+                        let all = j.spec.form == Form::Ensemble;
+                        let (from, to) = if all { (0, j.spec.parcels) } else { (index, index + 1) };
+                        let change = self.changes.entry(job.clone()).or_insert_with(|| Change::new(now));
+                        for i in from..to {
+                            freed |= change.done.insert(i);
+                        }
+                        m.errors = 0;
+                    }
+                    j.withdrawn() && stored == Stored::Ending
+                }
+                Case::Failed => true,
+                _ => false,
+            };
+            if !gone {
                 continue;
             }
             let change = self.changes.entry(job.clone()).or_insert_with(|| Change::new(now));
-            let counts = index < j.spec.parcels && !j.is_done(index, size) && !j.withdrawn();
-            if s.cause == Some(Cause::Done) && counts {
-                // A gang completes together: the reports of the others may be
-                // lost with their machines.
-                let all = j.spec.form == Form::Ensemble;
-                let (from, to) = if all { (0, j.spec.parcels) } else { (index, index + 1) };
-                for i in from..to {
-                    freed |= change.done.insert(i);
-                }
-                m.errors = 0;
-            }
-            let complete = j.spec.form == Form::Ensemble && j.placed == j.spec.parcels && !j.withdrawn();
-            if s.cause == Some(Cause::Alone) && complete {
-                continue; // the others are on their way: it is ordered again
-            }
-            if kept.get(&key) == Some(&s.attempt)
-                && (s.cause != Some(Cause::Done) || j.withdrawn())
-                && change.clear.insert((index, s.attempt))
-            {
+            if change.clear.insert((index, s.attempt)) {
                 freed = true;
                 m.gone.insert((job.clone(), index, s.attempt));
                 if s.cause == Some(Cause::Error) {
@@ -368,6 +382,7 @@
         self.release_tokens = (self.release_tokens + dt * cap / w.lease_s).min(cap);
         self.release_at = now;
         let recent = self.report_s(2.5);
+        let known = self.start.fleet_known();
         let mut silent = Vec::new();
         let mut heard = 0;
         for (name, m) in &self.machines {
@@ -385,11 +400,11 @@
                 silent.push((name.clone(), true));
             } else if m.heard_at.is_none() && !self.view.placed.contains_key(name) {
                 // It was rented and may be booting: the leader waits for it.
-            } else if now.saturating_sub(last) > limit && !m.releasing && !self.peers_hear(name) {
+            } else if known && now.saturating_sub(last) > limit && !m.releasing && !self.peers_hear(name) {
                 silent.push((name.clone(), false));
             }
         }
-        if !self.cloud.has(now, 1.0) {
+        if !self.may_ask(Retry::Release) {
             return;
         }
         let mut names = Vec::new();
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -4,6 +4,7 @@
 use crate::protocol::store::{Cond, Op};
 use crate::protocol::user::{ErrorBody, Form, JobSpec, JobState, Route, Status, route, valid_uid};
 use crate::protocol::{decode, encode};
+use crate::retry::Side;
 
 /// Seconds after which a client is told to come back.
 const COME_BACK: u32 = 1;
@@ -32,6 +33,13 @@
         self.out.push(Action::Respond { conn, status, body, retry_after });
     }
 
+    /// Refuses a change for want of writes, with a place in what can be written.
+    fn put_off(&mut self, conn: ConnId, error: &str) {
+        let retry_after = Some(self.returns.after(self.now, self.writes.rate));
+        let body = encode(&ErrorBody { error: error.into() });
+        self.out.push(Action::Respond { conn, status: 429, body, retry_after });
+    }
+
     pub(super) fn refuse(&mut self, conn: ConnId, status: u16, error: &str) {
         self.respond(conn, status, encode(&ErrorBody { error: error.into() }));
     }
@@ -39,22 +47,28 @@
     /// Whether the load balancer should send users here. In an outage that
     /// all share there is no better node to send them to.
     fn healthy(&self) -> bool {
-        if !self.ses.following() || self.types.is_empty() {
+        if self.types.is_empty() {
             return false;
         }
-        if self.fresh() {
+        if self.ses.following() && self.fresh() {
             return true;
         }
         // If another controller's view is much fresher than ours, it is we who
         // are refused; if none is, an outage hits all and users may as well stay.
         let ours = self.ses.staleness(self.now).unwrap_or(Duration::MAX);
         let margin = self.report_s(1.0);
-        let fresher = self.peers.values().any(|p| {
-            let since = self.now.saturating_sub(p.at);
-            let theirs = Duration::from_millis(p.stale_ms).saturating_add(since);
-            since < margin && theirs.saturating_add(margin) < ours
-        });
-        !fresher && self.entitled()
+        let recent =
+            self.peers.values().map(|p| (p, self.now.saturating_sub(p.at))).filter(|(_, since)| *since < margin);
+        let theirs: Vec<Duration> = recent.map(|(p, since)| p.stale().saturating_add(since)).collect();
+        let fresher = theirs.iter().any(|t| t.saturating_add(margin) < ours);
+        // Others say that they are no better off: then the first request after
+        // the outage finds a way in, and need not wait for probes.
+        let shared = !theirs.is_empty() && theirs.iter().all(|t| *t > margin);
+        if self.ses.following() {
+            !fresher && (self.entitled() || shared)
+        } else {
+            shared && self.retry.is_open(Side::State)
+        }
     }
 
     fn submit(&mut self, conn: ConnId, body: &[u8]) {
@@ -83,7 +97,7 @@
         let key = records::job_key(&spec.uid);
         // Submissions go before all other writes, and may borrow from them.
         if self.busy.contains(&key) || self.writes.level(self.now) < -self.writes.rate {
-            return self.refuse(conn, 429, "too many submissions");
+            return self.put_off(conn, "too many submissions");
         }
         let uid = spec.uid.clone();
         let waits: Vec<u32> = (0..spec.parcels).collect();
@@ -121,7 +135,8 @@
                     self.queries.push(Query { conn, uid: uid.to_string(), withdraw: false, stage, until });
                 }
                 // It may have been stored all the same; a repeat will find out.
-                None => self.refuse(conn, if status == 429 { 429 } else { 503 }, "not stored"),
+                None if status == 429 => self.put_off(conn, "not stored"),
+                None => self.refuse(conn, 503, "not stored"),
             }
         }
     }
@@ -248,8 +263,10 @@
             } else if status == 409 {
                 // The record moved on; the user repeats and meets the new one.
                 self.refuse(conn, 503, "changed meanwhile");
+            } else if status == 429 {
+                self.put_off(conn, "not stored");
             } else {
-                self.refuse(conn, if status == 429 { 429 } else { 503 }, "not stored");
+                self.refuse(conn, 503, "not stored");
             }
         }
         let machines: Vec<String> = self.machines.keys().cloned().collect();
--- a/src/controller/sync.rs
+++ b/src/controller/sync.rs
@@ -9,7 +9,8 @@
     pub(super) fn sync_tick(&mut self) {
         let now = self.now;
         let ttl = self.ses.ttl;
-        if !self.ses.lease_busy && now >= self.ses.lease_next {
+        let asks = if self.ses.lease.is_some() { Retry::Renew } else { Retry::Lease };
+        if !self.ses.lease_busy && now >= self.ses.lease_next && self.retry.may(asks, now) {
             self.ses.lease_busy = true;
             self.ses.lease_next = now + ttl / 4;
             match self.ses.lease {
@@ -24,7 +25,7 @@
         }
         match self.ses.load {
             Load::Reading => {
-                if !self.ses.scan_busy && now >= self.ses.scan_next {
+                if !self.ses.scan_busy && now >= self.ses.scan_next && self.retry.may(Retry::Load, now) {
                     self.ses.scan_busy = true;
                     self.ses.scan_next = now + self.ses.gap;
                     let path = store::scan_path(records::PREFIX, &self.ses.scan_after);
@@ -36,7 +37,8 @@
                 self.member_tick();
                 let due = self.queries.iter().any(|q| q.stage == Stage::Queued)
                     || self.ses.staleness(now).is_none_or(|s| s > self.report_s(0.25));
-                if due && !self.ses.barrier_busy && now >= self.ses.barrier_next {
+                let may = now >= self.ses.barrier_next && self.retry.may(Retry::Barrier, now);
+                if due && !self.ses.barrier_busy && may {
                     self.ses.barrier_busy = true;
                     self.ses.barrier_next = now + self.ses.gap;
                     for q in &mut self.queries {
@@ -54,7 +56,7 @@
     }
 
     fn follow_tick(&mut self) {
-        if self.ses.follow_busy || self.now < self.ses.follow_next {
+        if self.ses.follow_busy || self.now < self.ses.follow_next || !self.retry.may(Retry::Watch, self.now) {
             return;
         }
         self.ses.follow_busy = true;
@@ -93,14 +95,21 @@
                     && let Ok(l) = decode::<Lease>(&r.body)
                 {
                     self.ses.lease = Some(l.id);
+                    if self.ses.following() {
+                        self.member_tick();
+                    }
+                } else {
+                    self.ses.lease_next = now;
                 }
             }
             Purpose::Renew => {
                 self.ses.lease_busy = false;
+                if result.is_err() || result.as_ref().is_ok_and(|r| r.status != 200) {
+                    self.ses.lease_next = now; // as soon as the retry policy allows
+                }
                 if result.is_ok_and(|r| r.status == 404) {
                     tracing::info!("lease at the state service was lost");
                     self.ses.lease = None;
-                    self.ses.lease_next = now;
                 }
             }
             Purpose::Scan => {
@@ -120,8 +129,7 @@
                         Err(_) => self.reload(),
                     },
                     Ok(r) if r.status == 410 => self.reload(),
-                    Ok(_) => self.ses.follow_next = now + self.ses.gap * 4,
-                    Err(NoAnswer) => {}
+                    Ok(_) | Err(NoAnswer) => {}
                 }
             }
             Purpose::Barrier => {
@@ -136,12 +144,9 @@
                         None => q.until = now,
                     }
                 }
-                match ledger {
-                    Some(l) => {
-                        self.ses.barriers.push((l.ledger_no, self.ses.barrier_sent));
-                        self.ses.reached(self.view.revision);
-                    }
-                    None => self.ses.barrier_next = now + self.ses.gap * 4,
+                if let Some(l) = ledger {
+                    self.ses.barriers.push((l.ledger_no, self.ses.barrier_sent));
+                    self.ses.reached(self.view.revision);
                 }
                 self.answer_queries();
             }
@@ -174,6 +179,7 @@
         self.view = view;
         self.adopted = None;
         self.ses.load = Load::Following;
+        self.start.loaded(self.now);
         self.dirty = true;
         tracing::info!(
             revision = self.view.revision,
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -37,7 +37,8 @@
         let revision = self.view.revision;
         self.outdated.retain(|_, need| *need > revision);
         let starts = if self.fresh() { self.plan_starts() } else { Vec::new() };
-        if self.fresh() {
+        // Machines that are not heard yet may have the room that is missed.
+        if self.fresh() && self.start.fleet_known() {
             self.make_room(&starts);
         }
         let mut by_job: BTreeMap<String, Vec<Start>> = BTreeMap::new();
@@ -70,9 +71,10 @@
             let exits = change.map_or(0, |c| c.done.len());
             let gone = change.map_or(0, |c| c.clear.len());
             let since = change.map_or(self.now, |c| c.since);
-            let waited = self.patience.get(uid).and_then(|p| p.waiting_since).unwrap_or(self.now).min(since);
+            let waited = self.patience.get(uid).and_then(|p| p.waited(self.now)).unwrap_or_default();
+            let waited = waited.max(self.now.saturating_sub(since));
             let size = (starts + exits + gone) as f64;
-            let weight = size * (self.now.saturating_sub(waited) + self.report_s(1.0)).as_secs_f64();
+            let weight = size * (waited + self.report_s(1.0)).as_secs_f64();
             let soon = self.aims.start_within(&job.spec).is_some();
             let last = job.withdrawn() || change.is_some_and(|c| self.ends_part(job, c));
             let (rank, need) = match () {
@@ -280,11 +282,18 @@
             if job.waiting_count() == 0 {
                 if let Some(p) = self.patience.get_mut(uid) {
                     p.waiting_since = None;
+                    p.before = Duration::ZERO;
                 }
                 continue;
             }
-            let patience = self.patience.entry(uid.clone()).or_default();
-            let since = *patience.waiting_since.get_or_insert(now);
+            let age_s = self.wall_ms().saturating_sub(job.rec.rec.at_ms) as f64 / 1000.0;
+            let patience = self.patience.entry(uid.clone()).or_insert_with(|| {
+                // Nothing of it has started: it has waited since it came.
+                let age_s = if job.done + job.placed == 0 { age_s } else { 0.0 };
+                Patience { before: Duration::from_secs_f64(age_s), ..Patience::default() }
+            });
+            patience.waiting_since.get_or_insert(now);
+            let waited_s = patience.waited(now).unwrap_or_default().as_secs_f64();
             let key = records::job_key(uid);
             if patience.not_before > now || self.busy.contains(&key) || self.outdated.contains_key(&key) {
                 continue;
@@ -320,8 +329,6 @@
                 continue;
             }
             let zones = self.view.zones_of(job);
-            let waited_s = now.saturating_sub(since).as_secs_f64();
-            let age_s = self.wall_ms().saturating_sub(job.rec.rec.at_ms) as f64 / 1000.0;
             let aim_s = self.aims.end_from(&job.spec, age_s, job.spec.expected_s * HOPE);
             let slack_s = aim_s.map_or(f64::INFINITY, |a| a - age_s - job.spec.expected_s * HOPE);
             let left = f64::from(job.spec.parcels - job.done);
@@ -443,7 +450,7 @@
             let mut within = self.aims.start_within(&job.spec).unwrap_or(f64::INFINITY);
             // Where no machine keeps the aim any more, or has room to make, a
             // late start is still better than none.
-            let since = self.patience.get(uid).and_then(|p| p.waiting_since).unwrap_or(now);
+            let waited = self.patience.get(uid).and_then(|p| p.waited(now)).unwrap_or_default();
             let mut zones = self.view.zones_of(job);
             for s in starts.iter().filter(|s| s.uid == *uid) {
                 if let Some(h) = self.view.hosts.get(&s.machine) {
@@ -454,7 +461,7 @@
                 r.allowed(&job.spec) && zone_room(&job.spec, job.spec.parcels, zones, &r.site) > 0
             };
             let hopeless = !rooms.iter().any(|(r, _)| may(&zones, r) && r.starts_within(&job.spec, within));
-            if hopeless || now.saturating_sub(since).as_secs_f64() > within {
+            if hopeless || waited.as_secs_f64() > within {
                 within = f64::INFINITY;
             }
             for _ in 0..n {
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -9,6 +9,7 @@
 use crate::bookkeeping::{Images, Placements};
 use crate::effects::{CallId, Instant};
 use crate::protocol::worker::{Cause, Order, Report, TaskId, TaskState};
+use crate::recovery::square::{Act, Shown, Stored, case};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -192,27 +193,25 @@
     /// the store yet, and which the worker must therefore not forget.
     pub fn orders(&self, wanted: &Placements, kept: &Placements) -> Vec<Order> {
         let mut orders = Vec::new();
+        let confirmed = self.confirmed();
         for s in &self.tasks {
             let key = (s.task.job.clone(), s.task.index);
-            let is = |set: &Placements| set.get(&key) == Some(&s.attempt);
-            let parcel = s.task.to_string();
-            let attempt = s.attempt;
-            if s.state == TaskState::Exited {
-                // Forgetting makes a late `run` start the task again, so it
-                // waits until no such message can be under way.
-                let again = is(wanted) && s.cause == Some(Cause::Alone);
-                if (again || !is(wanted) && !is(kept)) && self.confirmed() {
+            let stored = Stored::of(wanted, kept, &key, s.attempt);
+            let (parcel, attempt) = (s.task.to_string(), s.attempt);
+            // One that gave up waiting and is still wanted has a gang that comes.
+            match case(stored, Shown::of(s.state, s.cause), true).act(confirmed) {
+                Act::Kill => {
+                    let key = (key.0, key.1, attempt);
+                    let wind_down_s = self.preempted.get(&key).copied().unwrap_or(0.0);
+                    orders.push(Order::Kill { parcel, attempt, wind_down_s });
+                }
+                Act::Forget => orders.push(Order::Forget { parcel, attempt }),
+                Act::Again => {
+                    // The same attempt waits on, with its image there by now.
                     orders.push(Order::Forget { parcel: parcel.clone(), attempt });
-                    if again {
-                        // The gang was not complete in time, but it comes: the
-                        // same attempt waits on, with its image there by now.
-                        orders.push(Order::Run { parcel, attempt });
-                    }
+                    orders.push(Order::Run { parcel, attempt });
                 }
-            } else if !is(wanted) {
-                let key = (s.task.job.clone(), s.task.index, s.attempt);
-                let wind_down_s = self.preempted.get(&key).copied().unwrap_or(0.0);
-                orders.push(Order::Kill { parcel, attempt, wind_down_s });
+                Act::Leave | Act::Run | Act::StoreResult | Act::StoreGone => {}
             }
         }
         for ((job, index), attempt) in wanted {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,5 +8,7 @@
 pub mod fleet;
 pub mod placement;
 pub use finchquay_protocol as protocol;
+pub mod recovery;
+pub mod retry;
 pub mod settings;
 pub mod transport;
--- /dev/null
+++ b/tests/recovery/mod.rs
@@ -0,0 +1,203 @@
+//! Starts of all controllers at once, at a few hundred machines: what was there
+//! goes on, and what was not is made so with the fewest orders.
+
+use crate::world::{Job, LEASE_S, SMALL, Size, World, array, s, service};
+use crate::{done, running};
+use rand::RngExt;
+
+/// Seeds of one kind of world: a few, or as many as FINCHQUAY_SEEDS says.
+pub fn seeds(few: u64) -> u64 {
+    std::env::var("FINCHQUAY_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(few)
+}
+
+fn fleet(seed: u64, machines: u32) -> World {
+    let size = Size { machines, write_rps: 100.0, zones: &["a", "b"], ..SMALL };
+    let mut w = World::sized(seed, size);
+    w.cloud.most = machines as usize + 20;
+    w
+}
+
+fn all_down(w: &mut World, at_s: f64, for_s: f64) {
+    w.restart_s = for_s;
+    w.later(at_s, |w| (0..w.nodes.len()).for_each(|i| w.crash(i)));
+}
+
+/// The leader returned machines that were idle, and so neither placed on nor
+/// heard yet, as machines that had never come up: a third of the fleet.
+#[test]
+fn idle_machines_outlive_a_start() {
+    let mut w = fleet(20, 200);
+    w.submit("run-009", service(100));
+    all_down(&mut w, 45.0, 8.0);
+    // Machines that stood idle for long go back before and long after, one by one.
+    w.run_until(63.0);
+    let after = w.cloud.returned.iter().filter(|r| r.0 > s(45.0)).count();
+    assert_eq!(after, 0, "machines that live were returned");
+    w.run_until(110.0);
+    assert_eq!(running(&w, "run-009"), 100);
+}
+
+/// Down for longer than their leases at the store, the first one back took every
+/// machine, one write each, and the others got theirs back one by one.
+#[test]
+fn blocks_come_back_whole_after_leases_ended() {
+    let mut w = fleet(21, 120);
+    w.submit("run-009", service(60));
+    w.run_until(30.0);
+    let before = w.store.ledger();
+    w.restart_s = 10.0;
+    w.crash(0);
+    w.restart_s = 10.4;
+    w.crash(1);
+    w.restart_s = 11.0;
+    w.crash(2);
+    w.run_until(60.0);
+    assert_eq!(w.store.changes("fq/h/", before), 0, "machines were granted one by one");
+    assert_eq!(w.store.changes("fq/b/", before), 3);
+    assert_eq!(running(&w, "run-009"), 60);
+    assert_eq!(w.workers.values().map(|x| x.kills.len()).sum::<usize>(), 0);
+}
+
+/// One controller never comes back: its machines are not left to their leases.
+#[test]
+fn a_controller_that_stays_away_is_not_waited_for() {
+    let mut w = fleet(22, 60);
+    w.submit("run-009", service(50));
+    w.run_until(30.0);
+    w.restart_s = 4.0;
+    w.crash(0);
+    w.crash(1);
+    w.restart_s = 1e6;
+    w.crash(2);
+    for at in 31..70 {
+        w.later(f64::from(at), move |w| assert_eq!(running(w, "run-009"), 50, "{at} s"));
+    }
+    w.run_until(70.0);
+    w.submit("run-001", array(30, 2.0));
+    w.run_until(85.0);
+    assert!(done(&w, "run-001"));
+}
+
+/// A task that ended while nobody listened has ended: it is not run again.
+#[test]
+fn results_of_the_time_down_count() {
+    let mut w = fleet(23, 60);
+    w.submit("run-003", array(80, 8.0));
+    w.submit("run-009", service(40));
+    all_down(&mut w, 7.0, 10.0);
+    w.run_until(60.0);
+    assert!(done(&w, "run-003"));
+    let (orders, idle) = orders(&w);
+    // One order to run each task and one to forget it, and nothing else.
+    assert!(orders - idle <= 2 * 80 + 40, "{orders} orders, {idle} of them for nothing");
+}
+
+/// The store is away when they come back, and goes away again while machines
+/// report; then all controllers crash once more.
+#[test]
+fn a_start_is_interrupted_again_and_again() {
+    let mut w = fleet(24, 100);
+    w.submit("run-009", service(90));
+    w.later(30.0, |w| w.store.set_down(w.now, true));
+    all_down(&mut w, 31.0, 3.0);
+    w.later(35.0, |w| w.store.set_down(w.now, false));
+    w.later(36.0, |w| w.store.set_down(w.now, true));
+    w.later(37.5, |w| w.store.set_down(w.now, false));
+    w.later(39.0, |w| (0..3).for_each(|i| w.crash(i)));
+    for at in 31..90 {
+        w.later(f64::from(at), move |w| assert_eq!(running(w, "run-009"), 90, "{at} s"));
+    }
+    w.run_until(90.0);
+    assert_eq!(w.cloud.returned, vec![]);
+}
+
+/// After an outage users waited for probes of nodes that had all been given up,
+/// twice as long each time; a node that is refused alone still sends them away.
+#[test]
+fn an_outage_of_all_is_no_reason_to_send_users_away() {
+    let mut w = fleet(25, 10);
+    w.run_until(10.0);
+    w.store.set_down(w.now, true);
+    w.run_until(11.0);
+    w.crash(0);
+    for at in [16.0, 30.0, 60.0] {
+        w.run_until(at);
+        assert!((0..3).all(|i| w.healthy(i)), "{at} s");
+    }
+    w.store.set_down(w.now, false);
+    w.run_until(62.0);
+    assert!((0..3).all(|i| w.healthy(i)));
+    w.nodes[1].refused = true;
+    w.run_until(70.0);
+    assert_eq!((w.healthy(0), w.healthy(1), w.healthy(2)), (true, false, true));
+}
+
+fn orders(w: &World) -> (u32, u32) {
+    w.workers.values().fold((0, 0), |sum, x| (sum.0 + x.orders.0, sum.1 + x.orders.1))
+}
+
+/// Down from a second to three leases, with machines lost, cut off and taken
+/// away meanwhile, jobs that end, and users that wait: rules hold at every step,
+/// everything ends, and no start takes twice the orders it needs.
+#[test]
+fn starts_with_faults_in_between() {
+    let mut ratios = Vec::new();
+    for seed in 0..seeds(6) {
+        let machines = 80;
+        let mut w = fleet(4000 + seed, machines);
+        for n in 0..10 {
+            let at = w.rng.random_range(0.0..40.0);
+            let job: Job = if n % 3 == 0 { service(8) } else { array(w.rng.random_range(5..60), 4.0) };
+            let uid = format!("run-{n:02}{}", if n % 3 == 0 { 9 } else { n % 5 });
+            if n % 4 == 0 {
+                let (gone, uid) = (w.rng.random_range(at..90.0), uid.clone());
+                w.later(gone, move |w| w.jobs.get_mut(&uid).unwrap().withdraw_asked = true);
+            }
+            w.later(at, move |w| w.submit(&uid, job));
+        }
+        let down = w.rng.random_range(15.0..35.0);
+        let for_s = w.rng.random_range(1.0..3.0 * LEASE_S);
+        for i in 0..3 {
+            let late = w.rng.random_range(0.0..2.0);
+            w.later(down, move |w| {
+                w.restart_s = for_s + late;
+                w.crash(i);
+            });
+        }
+        for _ in 0..6 {
+            let at = w.rng.random_range(down..down + for_s + 5.0);
+            let which = w.rng.random_range(0..machines as usize);
+            let end = at + w.rng.random_range(1.0..40.0);
+            let dies = w.rng.random_bool(0.4);
+            w.later(at, move |w| {
+                let Some(name) = w.workers.keys().nth(which).cloned() else { return };
+                if dies {
+                    w.workers.remove(&name);
+                    return;
+                }
+                w.cut_worker(&name, true);
+                w.later(end, move |w| w.cut_worker(&name, false));
+            });
+        }
+        let before = down + for_s - 0.1;
+        w.run_until(before);
+        let then = orders(&w);
+        w.run_until(before + 30.0);
+        let now = orders(&w);
+        let (all, idle) = (now.0.saturating_sub(then.0), now.1.saturating_sub(then.1));
+        if all > 20 {
+            ratios.push((f64::from(all) / f64::from(all - idle), 4000 + seed));
+        }
+        w.run_until(before + 150.0);
+        for (uid, j) in &w.jobs {
+            let over = j.told_done || j.withdrawn_at.is_some() || j.standing;
+            assert!(over, "seed {seed}: {uid} is not over: {j:?}");
+        }
+        assert!(w.now > s(before));
+    }
+    ratios.sort_by(|a, b| a.0.total_cmp(&b.0));
+    if let (Some(median), Some(worst)) = (ratios.get(ratios.len() / 2), ratios.last()) {
+        println!("orders to those that had an effect: median {:.3}, worst {:.3} (seed {})", median.0, worst.0, worst.1);
+        assert!(median.0 <= 1.3 && worst.0 <= 2.0, "median {median:?}, worst {worst:?}");
+    }
+}
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -23,6 +23,8 @@
     /// No more than this many machines at a time.
     pub most: usize,
     pub sites: Vec<&'static str>,
+    /// Machines that were returned: when, and which.
+    pub returned: Vec<(Duration, String)>,
 }
 
 const BOOT_S: f64 = 10.0;
@@ -76,7 +78,10 @@
             }
             ("POST", "/hosts/release") => {
                 for n in get(body, "perches").and_then(Value::as_array).unwrap() {
-                    self.machines.remove(n.as_text().unwrap());
+                    let name = n.as_text().unwrap();
+                    if self.machines.remove(name).is_some() {
+                        self.returned.push((now, name.to_string()));
+                    }
                 }
                 (200, bytes(&cbor!({}).unwrap()))
             }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -592,6 +592,16 @@
         }
     }
 
+    /// What the load balancer is told by a node.
+    pub fn healthy(&mut self, i: usize) -> bool {
+        let now = self.now - self.starts.get(&i).copied().unwrap_or_default();
+        let Some(c) = self.nodes[i].logic.as_mut() else { return false };
+        let mut actions = Vec::new();
+        let (method, path) = ("GET".to_string(), "/healthz".to_string());
+        c.handle(now, Event::Request { conn: 0, method, path, body: Vec::new() }, &mut actions);
+        actions.iter().any(|a| matches!(a, Action::Respond { conn: 0, status: 200, .. }))
+    }
+
     /// Cuts a worker off, or ends the cut and delivers what was held back.
     pub fn cut_worker(&mut self, name: &str, cut: bool) {
         let now = self.now;
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -197,6 +197,15 @@
         (200, bytes(&cbor!({"ledger_no" => self.ledger}).unwrap()))
     }
 
+    /// Changes of keys with this prefix after a revision.
+    pub fn changes(&self, prefix: &str, after: u64) -> usize {
+        self.changes.iter().filter(|c| c.0 > after && c.1.starts_with(prefix)).count()
+    }
+
+    pub fn ledger(&self) -> u64 {
+        self.ledger
+    }
+
     /// How many machines the records hold.
     pub fn count(&self, prefix: &str) -> usize {
         self.keys.keys().filter(|k| k.starts_with(prefix)).count()
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -53,6 +53,8 @@
     pub kills: Vec<(Duration, String, f64)>,
     /// Seconds that each image takes here, for the next tasks.
     pub fetch_s: f64,
+    /// Orders that came, and those of them that changed nothing here.
+    pub orders: (u32, u32),
 }
 
 impl Worker {
@@ -81,6 +83,7 @@
             recall_at: None,
             kills: Vec::new(),
             fetch_s: 0.5,
+            orders: (0, 0),
         }
     }
 
@@ -225,8 +228,9 @@
             let key = (parcel.clone(), attempt);
             let (job, index) = parcel.split_once('/').unwrap();
             self.next_report = self.next_report.min(now + s(0.5));
+            self.orders.0 += 1;
             match text(&o, "verb").as_str() {
-                "run" if self.tasks.contains_key(&key) => {}
+                "run" if self.tasks.contains_key(&key) => self.orders.1 += 1,
                 "run" => {
                     let other = self.tasks.iter().any(|((p, _), t)| *p == parcel && t.state != TaskState::Exited);
                     let state = if other { TaskState::Exited } else { TaskState::Fetching };
@@ -245,11 +249,15 @@
                         let wind_down_s = get(&o, "wind_down_s").and_then(Value::as_float).unwrap_or(0.0);
                         self.kills.push((now, t.job.clone(), wind_down_s));
                         (t.state, t.cause) = (TaskState::Exited, "stopped");
+                    } else {
+                        self.orders.1 += 1;
                     }
                 }
                 "forget" => {
                     if self.tasks.get(&key).is_some_and(|t| t.state == TaskState::Exited) {
                         self.tasks.remove(&key);
+                    } else {
+                        self.orders.1 += 1;
                     }
                 }
                 other => panic!("unknown verb {other}"),
