--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -10,7 +10,15 @@
     /// First on every connection: who is speaking.
     Hello { member: String },
     /// Sent at a steady interval.
-    Beat(Beat),
+    Beat(Box<Beat>),
+}
+
+/// The newest beat that the sender had from one controller.
+#[derive(Debug, Clone, Default, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Echo {
+    pub member: String,
+    pub incarnation: u64,
+    pub seq: u64,
 }
 
 /// What one controller tells the others about what it sees. Hints only: no
@@ -18,10 +26,26 @@
 #[derive(Debug, Clone, Default, PartialEq, BorshSerialize, BorshDeserialize)]
 pub struct Beat {
     pub incarnation: u64,
+    /// Counts the beats of this incarnation.
+    pub seq: u64,
+    /// What the sender had heard: tells when this was sent, and that it hears us.
+    pub echo: Vec<Echo>,
+    /// Revision of the sender's view; none while it has none. Whatever it told
+    /// users, and whatever it acts on, is no newer.
+    pub revision: Option<u64>,
+    /// Live controllers and their incarnations, while the sender's view is fresh.
+    pub members: Vec<(String, u64)>,
     /// Milliseconds since the sender's view of the store was known fresh.
     pub stale_ms: u64,
     /// Machines that reported to the sender of late, and how long ago.
     pub heard: Vec<(String, u64)>,
+    /// Machines of the sender's that fell silent, and their addresses: does anybody
+    /// reach them?
+    pub asks: Vec<(String, String)>,
+    /// Silent machines that answered the sender's own call, and how long ago.
+    pub reached: Vec<(String, u64)>,
+    /// Machines of any block that the cloud lists no more, or as failed.
+    pub unlisted: Vec<String>,
     /// Images on some of the machines, as far as the sender knows; each beat
     /// tells of others. Numbers stand for the names in `images`.
     pub held: Vec<(String, Vec<u16>)>,
--- a/src/controller/blocks.rs
+++ b/src/controller/blocks.rs
@@ -12,6 +12,9 @@
 /// so many report intervals.
 const GATHERED_REPORTS: f64 = 3.0;
 
+/// A machine that did not reach a controller is not given to it for so many leases.
+const UNREACHED_LEASES: f64 = 4.0;
+
 impl Controller {
     pub(super) fn grant_blocks(&mut self) {
         for member in self.view.restarted() {
@@ -34,20 +37,28 @@
             return; // whoever comes back gets its block whole
         }
         let now = self.now;
-        let limit = self.set.settings.state.txn_ops.min(self.writes.level(self.now) as usize).max(1);
+        let ops = self.set.settings.state.txn_ops;
+        let spare = ops.min(self.writes.level(self.now) as usize).max(1);
         let known = self.start.fleet_known();
-        let deaf = if known { self.deaf_machines() } else { Vec::new() };
+        let unreached = if known { self.unreached_machines() } else { Vec::new() };
+        let deaf: BTreeSet<&str> = if known { self.deaf.names(now).collect() } else { BTreeSet::new() };
         let level = known && self.now >= self.level_next;
-        let mut moves = wanted_moves(&self.view, &deaf, level && now >= self.gather_next, limit);
+        // Machines without an owner that answers them lose their tasks soon.
+        let mut moves = wanted_moves(&self.view, &deaf, &unreached, ops);
+        let first = !moves.is_empty();
+        if moves.is_empty() && level && now >= self.gather_next {
+            moves.extend(blocks::level(&self.view, &deaf, |machine, to| self.reaches(machine, to)));
+        }
         if moves.is_empty() && level {
             moves = self.gather_moves();
-            moves.truncate(limit);
+            moves.truncate(spare);
             if !moves.is_empty() {
                 // Levelling would take them apart before the gang has started.
                 self.gather_next = now + self.report_s(GATHERED_REPORTS);
             }
         }
-        if moves.is_empty() || !self.may_write(moves.len() as f64) {
+        let may = if first { self.may_write_first() } else { self.may_write(moves.len() as f64) };
+        if moves.is_empty() || !may {
             return;
         }
         self.level_next = self.now + self.report_s(1.0);
@@ -66,6 +77,10 @@
                 epoch: self.epoch,
                 ..p.rec.clone()
             };
+            for machine in p.rec.machines.iter().filter(|m| unreached.iter().any(|u| u.0 == **m)) {
+                let until = now + self.secs(self.set.settings.workers.lease_s * UNREACHED_LEASES);
+                self.avoid.insert((machine.clone(), p.rec.owner.clone()), until);
+            }
             tracing::debug!(pack = %m.pack, machines = rec.machines.len(), from = %p.rec.owner, to = %m.to, "machine granted");
             txn.conds.push(Cond { key: key.clone(), entry_no: p.version });
             txn.ops.push(Op::Put { key, data: records::to_value(&rec), lease: None });
@@ -98,48 +113,4 @@
         let found = gangs.into_iter().map(|j| blocks::gather(&self.view, &rooms, &j.spec));
         found.into_iter().find(|moves| !moves.is_empty()).unwrap_or_default()
     }
-
-    /// Machines that reach another controller, but not their owner.
-    fn deaf_machines(&mut self) -> Vec<(String, String)> {
-        let (deaf, near) = (self.report_s(3.0), self.report_s(1.5));
-        let age = |member: &str, machine: &str| -> Option<Duration> {
-            if member == self.me {
-                return self.heard.get(machine).map(|t| self.now.saturating_sub(*t));
-            }
-            let p = self.peers.get(member)?;
-            let ms = p.heard.get(machine)?;
-            Some(Duration::from_millis(*ms) + self.now.saturating_sub(p.at))
-        };
-        let mut out = Vec::new();
-        for (name, h) in self.view.hosts.iter().filter(|(_, h)| self.view.owned(&h.rec)) {
-            if !self.is_up(name) {
-                continue;
-            }
-            let current = h.rec.owner == self.me
-                || self.peers.get(&h.rec.owner).is_some_and(|p| self.now.saturating_sub(p.at) < near);
-            if !current || age(&h.rec.owner, name).is_some_and(|a| a < deaf) {
-                continue;
-            }
-            // Freshly granted machines have had no time to come over.
-            if self.view.revision.saturating_sub(h.version) < 1
-                || self.machines.get(name).is_some_and(|m| self.now.saturating_sub(m.owned_since) < deaf)
-            {
-                continue;
-            }
-            let hears = self.view.members.keys().find(|m| **m != h.rec.owner && age(m, name).is_some_and(|a| a < near));
-            if let Some(m) = hears {
-                out.push((name.clone(), m.clone()));
-            }
-        }
-        // One that has just come up reports to anybody first, and it takes a
-        // beat or two until its owner's word of it is here.
-        let now = self.now;
-        let before = std::mem::take(&mut self.deaf_since);
-        for (name, _) in &out {
-            let since = before.get(name).copied().unwrap_or(now);
-            self.deaf_since.insert(name.clone(), since);
-        }
-        out.retain(|(name, _)| self.deaf_since.get(name).is_some_and(|t| now.saturating_sub(*t) > near));
-        out
-    }
 }
--- a/src/controller/commit.rs
+++ b/src/controller/commit.rs
@@ -93,6 +93,13 @@
         self.retry.may(Retry::Write, self.now) && self.writes.has(self.now, n)
     }
 
+    /// Whether changes may be written that everything else waits for. They may
+    /// overdraw: under load, submissions and starts of services keep the level
+    /// below nothing for as long as the load lasts.
+    pub(super) fn may_write_first(&self) -> bool {
+        self.retry.may(Retry::Write, self.now) && self.writes.level(self.now) > -self.writes.rate
+    }
+
     /// Sends a transaction; its keys are left alone until it is answered.
     pub(super) fn txn(&mut self, txn: Txn, why: Why) {
         let mut keys: Vec<String> = txn.conds.iter().map(|c| c.key.clone()).collect();
--- a/src/controller/enrol.rs
+++ b/src/controller/enrol.rs
@@ -64,7 +64,8 @@
             return;
         }
         let size = names.len().div_ceil(members.min(st.txn_ops.saturating_sub(1).max(1)));
-        let owners = blocks::spread(&self.view, &offer.build, names.len(), size);
+        let deaf = self.deaf.names(self.now).collect();
+        let owners = blocks::spread(&self.view, &deaf, &offer.build, names.len(), size);
         let mut txn = Txn { conds: vec![self.lead_cond(), self.packs_cond()], ops: Vec::new() };
         txn.conds.extend(names.iter().map(|n| Cond { key: records::pack_key(n), entry_no: 0 }));
         let count = records::to_value(&self.charter);
--- a/src/controller/fleet.rs
+++ b/src/controller/fleet.rs
@@ -24,6 +24,9 @@
 /// Ordinary machines for arrays that may use spot ones are not rented while
 /// more than this part of what is up is booting.
 const GROWTH: f64 = 0.5;
+/// A machine that was listed for so many lags of the list is in any later list,
+/// unless it is gone: lists are at most two lags old.
+const SURE_LAGS: f64 = 2.5;
 /// The fleet is looked at this often while the machine list grows old.
 const FLEET_LAG_SHARE: f64 = 0.1;
 
@@ -113,6 +116,7 @@
                 }
                 self.list = std::mem::take(&mut self.list_new);
                 self.list_at = Some(self.now);
+                self.note_unlisted();
                 // A later list may be an older one, so what was rented stays on
                 // our own books until it reports or is given up.
                 let mut rented = std::mem::take(&mut self.rented);
@@ -150,6 +154,34 @@
         }
     }
 
+    /// Machines that were listed and are no more are gone: once listed, they stay
+    /// so. A list may be older than the one before it, by twice the lag at most,
+    /// so a machine has to have been listed for longer than that. Their owners
+    /// are told, and ask the cloud themselves before anything rests on it.
+    fn note_unlisted(&mut self) {
+        let now = self.now;
+        let sure = self.secs(self.set.settings.cloud.list_lag_s * SURE_LAGS);
+        for name in self.list.keys() {
+            self.listed_since.entry(name.clone()).or_insert(now);
+        }
+        let (list, hosts) = (&self.list, &self.view.hosts);
+        self.listed_since.retain(|name, _| list.contains_key(name) || hosts.contains_key(name));
+        let gone = |name: &String| match list.get(name) {
+            Some(l) => l.phase == Phase::Failed,
+            None => self.listed_since.get(name).is_some_and(|t| now.saturating_sub(*t) > sure),
+        };
+        let unlisted: BTreeSet<String> = hosts.keys().filter(|name| gone(name)).cloned().collect();
+        if !unlisted.is_subset(&self.unlisted) {
+            self.beat_next = now; // their owners can prove it, and start their tasks elsewhere
+        }
+        self.unlisted = unlisted;
+        for name in &self.unlisted {
+            if let Some(m) = self.machines.get_mut(name) {
+                m.unlisted = true;
+            }
+        }
+    }
+
     fn late_s(&self, build: &str) -> f64 {
         self.machine_type(build).map_or(f64::MAX, |t| t.startup_s * self.set.operator.late_boots)
     }
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -39,7 +39,12 @@
             return;
         }
         let lead = self.view.lead.as_ref();
-        if lead.is_some_and(|l| self.view.is_live(&l.rec.member, l.rec.incarnation)) || !self.may_write(2.0) {
+        if lead.is_some_and(|l| self.view.is_live(&l.rec.member, l.rec.incarnation)) {
+            return;
+        }
+        // No limit holds this back but the pause after a refusal: without a leader
+        // nothing is granted, rented or leased anew.
+        if !self.retry.may(Retry::Write, self.now) {
             return;
         }
         let term = self.view.term.as_ref().map_or(0, |t| t.rec.term) + 1;
--- a/src/controller/leasing.rs
+++ b/src/controller/leasing.rs
@@ -121,7 +121,11 @@
         queues: &BTreeMap<String, f64>,
         zones: &BTreeMap<String, u32>,
     ) -> Vec<Share> {
-        let members: Vec<String> = self.view.members.keys().cloned().collect();
+        let hears = |m: &&String| !self.deaf.is(m, self.now);
+        let mut members: Vec<String> = self.view.members.keys().filter(hears).cloned().collect();
+        if members.is_empty() {
+            members.extend(self.view.members.keys().cloned());
+        }
         let whole = spec.form == Form::Ensemble || spec.together || spec.apart;
         let mut alike = BTreeMap::new();
         let same = |j: &&Job| j.spec.bundle == spec.bundle && j.spec.uid != spec.uid && j.waiting_count() > 0;
--- /dev/null
+++ b/src/controller/links.rs
@@ -0,0 +1,294 @@
+//! Who reaches whom: beats out and in, and from them which controllers are deaf to
+//! their machines and which machines are cut off from their owner. Hints only; no
+//! rule rests on them, but for the attestation, whose proof is in `links::table`.
+
+use super::*;
+use crate::links::account::{Account, Sight, of_owner};
+
+/// So many beats tell of the images of all machines.
+const BEATS_PER_ROUND: usize = 4;
+/// So many silent machines are asked after in one beat.
+const ASKS: usize = 24;
+/// A machine that came to the wrong controller is told of within this part of a
+/// report interval.
+const STRAY_BEAT: f64 = 1.0 / 8.0;
+/// A single machine goes to a controller that hears it after so many report
+/// intervals without its owner.
+const UNREACHED_REPORTS: f64 = 1.0;
+
+impl Controller {
+    /// Tells the other controllers what is seen from here.
+    pub(super) fn beat(&mut self) {
+        let keep = self.round_of_all() + self.report_s(1.0);
+        let now = self.now;
+        self.heard.retain(|_, t| now.saturating_sub(*t) < keep);
+        let view = &self.view;
+        if self.ses.following() {
+            self.images.retain(|m, _| view.hosts.contains_key(m));
+        }
+        let millis = |d: Duration| d.as_millis() as u64;
+        let (seq, echo) = self.links.send(now);
+        self.probed.retain(|_, t| now.saturating_sub(*t) < keep);
+        let asks = self.silent_machines();
+        self.probe(&asks);
+        let mut beat = Beat {
+            asks,
+            reached: self.probed.iter().map(|(m, t)| (m.clone(), millis(now.saturating_sub(*t)))).collect(),
+            incarnation: self.incarnation,
+            seq,
+            echo,
+            members: if self.ses.following() && self.fresh() { self.live_members() } else { Vec::new() },
+            revision: self.ses.following().then_some(self.view.revision),
+            unlisted: if self.am_leader() { self.unlisted.iter().cloned().collect() } else { Vec::new() },
+            held: Vec::new(),
+            images: Vec::new(),
+            stale_ms: self.ses.staleness(now).map_or(u64::MAX, millis),
+            heard: self.heard.iter().map(|(m, t)| (m.clone(), millis(now.saturating_sub(*t)))).collect(),
+        };
+        self.beats = self.beats.wrapping_add(1);
+        for (n, name) in self.view.hosts.keys().enumerate() {
+            if (n + self.beats).is_multiple_of(BEATS_PER_ROUND)
+                && let Some(images) = self.held_images(name).filter(|i| !i.is_empty())
+            {
+                beat.note_images(name, images.iter());
+            }
+        }
+        for other in &self.set.others {
+            let frame = Frame::Beat(Box::new(beat.clone()));
+            self.out.push(Action::Send { member: other.member.clone(), frame });
+        }
+    }
+
+    /// The images that a machine of any block is known to hold.
+    pub(super) fn held_images(&self, machine: &str) -> Option<&Images> {
+        self.machines.get(machine).map(|m| &m.images).or_else(|| self.images.get(machine))
+    }
+
+    /// Takes in what another controller knows of images: of its machines, and
+    /// of ours from before we started.
+    pub(super) fn note_images(&mut self, beat: &Beat) {
+        for (machine, images) in beat.images() {
+            if !self.view.hosts.contains_key(machine) {
+                continue;
+            }
+            let known = match self.machines.get_mut(machine) {
+                Some(m) => &mut m.images,
+                None => self.images.entry(machine.to_string()).or_default(),
+            };
+            for image in images {
+                if !known.contains(image) {
+                    std::rc::Rc::make_mut(known).insert(image.clone());
+                }
+            }
+        }
+    }
+
+    /// Machines of ours that fell silent of late: whether anybody reaches them
+    /// decides what becomes of them.
+    fn silent_machines(&self) -> Vec<(String, String)> {
+        let (from, to) = (self.report_s(perches::HEARD_REPORTS), self.round_of_all() + self.report_s(2.0));
+        let silent = |m: &Machine| m.heard_at.map_or(Duration::MAX, |t| self.now.saturating_sub(t));
+        let fell = |m: &Machine| !m.releasing && !m.addr.is_empty() && silent(m) >= from && silent(m) < to;
+        let mut out: Vec<(&String, &Machine)> = self.machines.iter().filter(|(_, m)| fell(m)).collect();
+        out.sort_by_key(|(_, m)| silent(m));
+        out.into_iter().take(ASKS).map(|(name, m)| (name.clone(), m.addr.clone())).collect()
+    }
+
+    /// Calls machines that fell silent to their owner; reading what they report
+    /// changes nothing and renews no lease.
+    pub(super) fn probe(&mut self, asks: &[(String, String)]) {
+        for (machine, addr) in asks.iter().take(ASKS) {
+            let Ok(addr) = addr.parse() else { continue };
+            let purpose = Purpose::Probe { machine: machine.clone() };
+            self.call(Target::Worker(addr), "GET", "/show".into(), None, self.report_s(1.0), purpose);
+        }
+    }
+
+    pub(super) fn probe_answer(&mut self, machine: String, result: Result<Reply, NoAnswer>) {
+        let report = result.ok().filter(|r| r.status == 200);
+        let report = report.and_then(|r| crate::protocol::decode::<Report>(&r.body).ok());
+        if report.is_some_and(|r| r.machine == machine) {
+            // Its owner may be about to return it.
+            self.beat_next = self.beat_next.min(self.now + self.report_s(STRAY_BEAT));
+            self.probed.insert(machine, self.now);
+        }
+    }
+
+    fn live_members(&self) -> Vec<(String, u64)> {
+        self.view.members.iter().map(|(m, r)| (m.clone(), r.rec.incarnation)).collect()
+    }
+
+    /// Whom a worker should go to while we may not act or should not: somebody
+    /// who reaches the store, if we do not.
+    pub(super) fn better_off(&self) -> Option<String> {
+        if self.fresh() {
+            return None;
+        }
+        let expelled = self.links.expelled_by(self.now);
+        let served = || self.links.served(self.now, self.report_s(1.0)).filter(|_| !self.entitled());
+        expelled.or_else(served).map(Into::into)
+    }
+
+    /// How long a worker that can reach few of the controllers may take to come
+    /// round to one of them.
+    pub(super) fn round_of_all(&self) -> Duration {
+        let w = &self.set.settings.workers;
+        let round = perches::WORKER_MOVES_S * self.set.controllers() as f64;
+        self.secs(round.min(w.lease_s)).max(self.report_s(3.0))
+    }
+
+    /// Beats go at this interval.
+    pub(super) fn beat_every(report: Duration) -> Duration {
+        report / 2
+    }
+
+    /// A worker that should have reported to its owner came here: the others
+    /// hear of it sooner than by the next beat.
+    pub(super) fn note_stray(&mut self, machine: &str) {
+        let known = self.strays.get(machine).is_some_and(|t| self.now.saturating_sub(*t) < self.report_s(2.0));
+        if !known {
+            self.strays.insert(machine.to_string(), self.now);
+            self.beat_next = self.beat_next.min(self.now + self.report_s(STRAY_BEAT));
+        }
+    }
+
+    /// Looks at what machines reach their owners; the leader at all, everybody
+    /// else at its own.
+    pub(super) fn links_tick(&mut self) {
+        let now = self.now;
+        self.note_owners();
+        let strays_since = self.round_of_all();
+        self.avoid.retain(|_, t| *t > now);
+        self.strays.retain(|_, t| now.saturating_sub(*t) < strays_since);
+        if !std::mem::take(&mut self.links_dirty) && self.strays.is_empty() {
+            return;
+        }
+        let leads = self.am_leader();
+        // Machines that reported to somebody else than their owner, and when.
+        let mut others: HashMap<&str, Instant> = HashMap::new();
+        let mut note = |machine: &'_ str, by: &str, at: Instant| {
+            let Some((name, h)) = self.view.hosts.get_key_value(machine) else { return };
+            let ours = h.rec.owner == self.me;
+            if h.rec.owner != by && (leads || ours) && self.view.owned(&h.rec) {
+                let last = others.entry(name).or_default();
+                *last = (*last).max(at);
+            }
+        };
+        for (machine, at) in &self.heard {
+            note(machine, &self.me, *at);
+        }
+        for (member, p) in self.links.peers() {
+            if self.links.news(member).is_some() {
+                p.heard().for_each(|(machine, age)| note(machine, member, p.at.saturating_sub(age)));
+            }
+        }
+        let mut unreached: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+        for (name, at) in &others {
+            let Some(h) = self.view.hosts.get(*name) else { continue };
+            if self.sight(name, &h.rec.owner, Some(*at)).unreached().is_some() {
+                unreached.entry(&h.rec.owner).or_default().push(name);
+            }
+        }
+        let mut found: Vec<(String, Account, usize)> = Vec::new();
+        for (owner, machines) in &unreached {
+            let block = self.view.hosts.iter().filter(|(_, h)| h.rec.owner == **owner);
+            let sights: Vec<Sight> =
+                block.map(|(name, _)| self.sight(name, owner, others.get(name.as_str()).copied())).collect();
+            found.push((owner.to_string(), of_owner(&sights), machines.len()));
+        }
+        let mut unreached_since = HashMap::new();
+        for name in unreached.values().flatten() {
+            let since = self.unreached_since.get(*name).copied().unwrap_or(now);
+            unreached_since.insert(name.to_string(), since);
+        }
+        self.unreached_since = unreached_since;
+        let pause = self.secs(self.set.settings.workers.lease_s);
+        for (owner, account, machines) in found {
+            if self.deaf.note(&owner, account, now, pause) {
+                tracing::info!(member = %owner, machines, "does not hear its machines, others do");
+                // Whoever can act on it hears of it at once.
+                self.lead_next = now;
+            }
+        }
+    }
+
+    /// Since when each machine belongs to its owner, as far as is known here.
+    fn note_owners(&mut self) {
+        if self.owners_seen == Some(self.view.hosts_changed) {
+            return;
+        }
+        self.owners_seen = Some(self.view.hosts_changed);
+        let (now, view) = (self.now, &self.view);
+        self.owned_since.retain(|name, _| view.hosts.contains_key(name));
+        for (name, h) in &view.hosts {
+            let grant = h.rec.granted;
+            match self.owned_since.get_mut(name) {
+                Some(known) if known.0 == grant => {}
+                Some(known) => *known = (grant, now),
+                None => {
+                    self.owned_since.insert(name.clone(), (grant, now));
+                }
+            }
+        }
+    }
+
+    fn sight(&self, machine: &str, owner: &str, by_other: Option<Instant>) -> Sight {
+        let (by_owner, owner_says_at) = if owner == self.me {
+            (self.heard.get(machine).copied(), Some(self.now))
+        } else {
+            (self.links.heard_at(owner, machine), self.links.news(owner).map(|p| p.at))
+        };
+        let owned_since = self.owned_since.get(machine).map_or(self.now, |o| o.1);
+        Sight { by_owner, owner_says_at, by_other, owned_since }
+    }
+
+    /// Machines that reach another controller, but not their owner, and which:
+    /// they came there and not back to it, or they fell silent to it, do not
+    /// answer its call, and answer somebody else's.
+    pub(super) fn unreached_machines(&self) -> Vec<(String, String)> {
+        let lasting = self.report_s(UNREACHED_REPORTS);
+        let long = |t: &Instant| self.now.saturating_sub(*t) >= lasting;
+        let mut names: BTreeSet<&str> =
+            self.unreached_since.iter().filter(|(_, t)| long(t)).map(|(name, _)| name.as_str()).collect();
+        for member in self.view.members.keys() {
+            names.extend(self.links.misses(member).filter(|name| self.owner_of(name) == Some(member)));
+        }
+        let own = self.silent_machines();
+        names.extend(own.iter().map(|(name, _)| name.as_str()).filter(|name| !self.probed.contains_key(*name)));
+        let known = |name: &str, member: &str| {
+            if member == self.me {
+                return self.heard.get(name).max(self.probed.get(name)).copied();
+            }
+            self.links.heard_at(member, name).max(self.links.reached_at(member, name))
+        };
+        let near = self.report_s(2.0);
+        let by_whom = |name: &str| {
+            let owner = self.owner_of(name)?;
+            let able = self.view.members.keys().filter(|m| *m != owner && !self.deaf.is(m, self.now));
+            let hears = able.filter_map(|m| Some((known(name, m)?, m))).max()?;
+            (self.now.saturating_sub(hears.0) < near).then(|| (name.to_string(), hears.1.clone()))
+        };
+        names.into_iter().filter_map(by_whom).collect()
+    }
+
+    fn owner_of(&self, machine: &str) -> Option<&String> {
+        self.view.hosts.get(machine).map(|h| &h.rec.owner)
+    }
+
+    /// Whether a machine reaches a controller, as far as is known.
+    pub(super) fn reaches(&self, machine: &str, member: &str) -> bool {
+        self.avoid.get(&(machine.to_string(), member.to_string())).is_none_or(|t| *t <= self.now)
+    }
+
+    /// Whether every other live controller is heard, both ways.
+    pub(super) fn all_speak(&self) -> bool {
+        self.view.members.keys().all(|m| *m == self.me || self.links.both_ways(m, self.now))
+    }
+
+    /// When this controller's view was last known to be the newest there is: by
+    /// its own read of the store, or by the word of all others.
+    pub(super) fn surely_fresh_at(&self) -> Option<Instant> {
+        let others = self.set.others.iter().map(|o| &o.member);
+        self.ses.fresh_at.max(self.links.attested(others, self.view.revision))
+    }
+}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -8,7 +8,7 @@
 mod fleet;
 mod lead;
 mod leasing;
-mod peers;
+mod links;
 mod perches;
 mod quota;
 mod requests;
@@ -24,6 +24,8 @@
 use crate::coordination::parts::Parts;
 use crate::coordination::session::Session;
 use crate::effects::{Action, CallId, ConnId, Event, Instant, NoAnswer, Reply, Target};
+use crate::links::account::Deaf;
+use crate::links::table::Links;
 use crate::placement::knapsack::Knapsack;
 use crate::protocol::cloud::{Listed, MachineType};
 use crate::protocol::peer::{Beat, Frame};
@@ -34,7 +36,6 @@
 use crate::settings::Settings;
 use commit::{Bucket, Why, Writes};
 use hdrhistogram::Histogram;
-use peers::PeerView;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
@@ -48,10 +49,27 @@
     Barrier,
     Catalog,
     List,
-    Rent { offer: crate::fleet::Offer, number: u32 },
-    Release { machines: Vec<String> },
-    Push { machine: String, grant: u64 },
-    Txn { txn: Txn, why: Why, keys: Vec<String>, sent: Instant },
+    Rent {
+        offer: crate::fleet::Offer,
+        number: u32,
+    },
+    Release {
+        machines: Vec<String>,
+    },
+    Push {
+        machine: String,
+        grant: u64,
+    },
+    /// Whether a silent machine answers anybody.
+    Probe {
+        machine: String,
+    },
+    Txn {
+        txn: Txn,
+        why: Why,
+        keys: Vec<String>,
+        sent: Instant,
+    },
 }
 
 impl Purpose {
@@ -68,7 +86,7 @@
             Purpose::Rent { .. } => Retry::Rent,
             Purpose::Release { .. } => Retry::Release,
             Purpose::Txn { .. } => Retry::Write,
-            Purpose::Push { .. } => return None,
+            Purpose::Push { .. } | Purpose::Probe { .. } => return None,
         })
     }
 }
@@ -217,7 +235,22 @@
     /// How long the state service took over transactions, in milliseconds.
     txn_ms: Histogram<u64>,
     cloud: Bucket,
-    peers: HashMap<String, PeerView>,
+    links: Links,
+    /// Beats came since the links were last looked at.
+    links_dirty: bool,
+    deaf: Deaf,
+    /// Machines that did not reach a controller, and until when they are not given to it.
+    avoid: HashMap<(String, String), Instant>,
+    /// Zones of which most of our machines were silent, until when they count as cut.
+    cut_until: HashMap<String, Instant>,
+    /// Silent machines that answered a call of ours, and when.
+    probed: HashMap<String, Instant>,
+    /// Machines that came here though others own them, and when first.
+    strays: HashMap<String, Instant>,
+    /// The grant of each machine, and since when it is known.
+    owned_since: HashMap<String, (u64, Instant)>,
+    /// The state of the view's machine records that `owned_since` follows.
+    owners_seen: Option<u64>,
     sack: Knapsack,
     aims: Aims,
     /// When the first machine was seen, by the time of day.
@@ -246,6 +279,10 @@
     epoch: u64,
     charter: u64,
     list: BTreeMap<String, Listed>,
+    /// When each machine was first listed.
+    listed_since: HashMap<String, Instant>,
+    /// Recorded machines that the cloud lists no more, or as failed.
+    unlisted: BTreeSet<String>,
     list_new: BTreeMap<String, Listed>,
     list_at: Option<Instant>,
     list_next: Instant,
@@ -255,8 +292,8 @@
     unrecorded: VecDeque<(crate::fleet::Offer, Vec<String>)>,
     /// Recorded machines that nobody hears, and since when.
     unseen_since: HashMap<String, Instant>,
-    /// Machines that seem not to reach their owner, and since when.
-    deaf_since: HashMap<String, Instant>,
+    /// Machines that do not reach their owner, and since when that is known.
+    unreached_since: HashMap<String, Instant>,
     renting: u32,
     refused: BTreeMap<crate::fleet::Offer, Instant>,
     /// Free cores of late, for the least that stayed free.
@@ -286,6 +323,7 @@
         // A quarter of the store's requests goes to each kind of steady read.
         let gap = Duration::from_secs_f64(n / (p.state.rps * 0.25));
         let ttl = Duration::from_secs_f64((p.workers.report_s * 2.0).min(p.workers.lease_s / 3.0));
+        let beat_every = Self::beat_every(Duration::from_secs_f64(p.workers.report_s));
         let chunk = records::chunk_size(p.state.value_kb, p.state.write_rps / n);
         Controller {
             me: set.member.clone(),
@@ -321,7 +359,15 @@
             written: BTreeMap::new(),
             txn_ms: Histogram::new_with_max(LONGEST_TXN_MS, 2).expect("bounds are good"),
             cloud: Bucket::new(p.cloud.rps / n),
-            peers: HashMap::new(),
+            links: Links::new(&set.member, incarnation >> 1, beat_every),
+            links_dirty: false,
+            deaf: Deaf::default(),
+            avoid: HashMap::new(),
+            cut_until: HashMap::new(),
+            probed: HashMap::new(),
+            strays: HashMap::new(),
+            owned_since: HashMap::new(),
+            owners_seen: None,
             sack: Knapsack::default(),
             aims: Aims::new(p.objectives.clone()),
             fleet_since_ms: None,
@@ -344,6 +390,8 @@
             epoch: 0,
             charter: 0,
             list: BTreeMap::new(),
+            listed_since: HashMap::new(),
+            unlisted: BTreeSet::new(),
             list_new: BTreeMap::new(),
             list_at: None,
             list_next: Duration::ZERO,
@@ -351,7 +399,7 @@
             rented: BTreeMap::new(),
             unrecorded: VecDeque::new(),
             unseen_since: HashMap::new(),
-            deaf_since: HashMap::new(),
+            unreached_since: HashMap::new(),
             renting: 0,
             refused: BTreeMap::new(),
             slack: VecDeque::new(),
@@ -375,8 +423,14 @@
             }
             Event::Peer { member, frame: Frame::Beat(beat) } => {
                 self.note_images(&beat);
-                let heard = beat.heard.into_iter().collect();
-                self.peers.insert(member, PeerView { stale_ms: beat.stale_ms, heard, at: now });
+                for name in &beat.unlisted {
+                    if let Some(m) = self.machines.get_mut(name) {
+                        m.unlisted = true;
+                    }
+                }
+                self.links.receive(&member, &beat, now);
+                self.links_dirty = true;
+                self.probe(&beat.asks);
             }
             Event::Peer { frame: Frame::Hello { .. }, .. } => {}
             Event::Tick => self.tick(),
@@ -397,7 +451,7 @@
             self.fetch_types();
         }
         if self.now >= self.beat_next {
-            self.beat_next = self.now + self.secs(self.set.settings.workers.report_s / 2.0);
+            self.beat_next = self.now + Self::beat_every(self.report_s(1.0));
             self.beat();
         }
         if !self.ses.following() {
@@ -407,6 +461,7 @@
         if self.now >= self.perches_next {
             self.perches_next = self.now + self.report_s(0.1);
             self.start_tick();
+            self.links_tick();
             self.perches_tick();
             self.work_tick();
             self.note_overdue();
@@ -487,7 +542,8 @@
         let w = &self.set.settings.workers;
         let margin = w.report_s;
         let limit = self.secs((w.cancel_s - w.lease_s - margin) / DRIFT);
-        self.ses.following() && self.ses.staleness(self.now).is_some_and(|s| s < limit)
+        let known = |at: Instant| self.now.saturating_sub(at) < limit;
+        self.ses.following() && (self.ses.fresh_at.is_some_and(known) || self.surely_fresh_at().is_some_and(known))
     }
 
     fn fresh(&self) -> bool {
@@ -535,6 +591,7 @@
             }
             Purpose::Release { machines } => self.release_answer(machines, result),
             Purpose::Push { machine, grant } => self.push_answer(id, &machine, grant, result),
+            Purpose::Probe { machine } => self.probe_answer(machine, result),
             Purpose::Txn { txn, why, keys, sent } => {
                 let took = self.now.saturating_sub(sent).as_millis() as u64;
                 self.txn_ms.saturating_record(took);
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -5,6 +5,7 @@
 use crate::bookkeeping::records::Place;
 use crate::bookkeeping::{Job, Placements};
 use crate::fleet::given_up_after_s;
+use crate::links::account::{Group, Silence, of_silence};
 use crate::placement::{Room, zone_room};
 use crate::protocol::cloud::{RELEASE, RELEASE_LIMIT, Release};
 use crate::protocol::encode;
@@ -13,12 +14,23 @@
 use crate::recovery::square::{Case, Shown, Stored, case};
 
 /// A worker waits this long for an answer, then a little to try the next node.
-const WORKER_MOVES_S: f64 = 4.0 + 1.0 + 0.5;
+pub(super) const WORKER_MOVES_S: f64 = 4.0 + 1.0 + 0.5;
+/// Reports come at an interval, give or take a quarter: whoever was heard within
+/// this many of them is heard.
+pub(super) const HEARD_REPORTS: f64 = 1.5;
+/// So long must a machine be silent that the cloud lists no more: it may have
+/// reported after the list was made.
+const UNLISTED_REPORTS: f64 = 1.25;
+/// Machines that are cut off with others are waited for this many leases.
+const CUT_LEASES: f64 = 2.0;
 
 impl Controller {
     /// A report; `until` is set when it waited for a grant already.
     pub(super) fn report(&mut self, conn: ConnId, report: Report, until: Option<Instant>) {
         self.heard.insert(report.machine.clone(), self.now);
+        if let Some(peer) = self.better_off() {
+            return self.redirect(conn, Some(&peer));
+        }
         if !self.entitled() {
             return self.refuse(conn, 503, "not in touch with the state service");
         }
@@ -30,6 +42,7 @@
         if !self.owns(host) {
             if self.view.owned(&host.rec) {
                 let owner = host.rec.owner.clone();
+                self.note_stray(&report.machine);
                 return self.redirect(conn, Some(&owner));
             }
             if leader.as_deref() == Some(self.me.as_str()) {
@@ -58,6 +71,7 @@
             .is_none_or(|t| now.saturating_sub(t) > Duration::from_secs_f64(self.set.settings.workers.report_s));
         self.dirty |= quiet || m.answered_at.is_none();
         m.heard_at = Some(now);
+        m.unlisted = false;
         self.look(&name);
         let (wanted, kept) = self.wanted(&name);
         self.note_squared(&name, &wanted, &kept);
@@ -367,58 +381,92 @@
     }
 
     /// A machine that does not report is released: that alone proves at once
-    /// that its tasks are gone. Guards against returning a healthy fleet when
-    /// it is we who are cut off: nobody else hears the machine either, we hear
-    /// most of the others, and only a share of the block goes per lease time.
+    /// that its tasks are gone. It destroys what lives if it is we who are cut
+    /// off, or the machine with others: so only where death is the best account
+    /// of its silence, and only a share of the block per lease time. Elsewhere
+    /// its lease is waited for, which ends its tasks all the same.
     fn release_silent(&mut self) {
         let now = self.now;
         let w = &self.set.settings.workers;
-        let limit = self.report_s(self.set.operator.silent_reports);
+        // Whoever reaches it has to have had the time to say so.
+        let told = self.report_s(HEARD_REPORTS) + Self::beat_every(self.report_s(1.0)).mul_f64(2.5);
+        let limit = self.report_s(self.set.operator.silent_reports).max(told);
         // After a grant the worker may still be waiting for its old controller.
         let first = limit + self.secs(WORKER_MOVES_S);
+        let (lapse, long) = (self.secs(w.lease_s * DRIFT + w.report_s), self.secs(w.lease_s * CUT_LEASES));
         let block = self.machines.len() as f64;
         let cap = (block / 4.0).max(1.0);
         let dt = now.saturating_sub(self.release_at).as_secs_f64();
         self.release_tokens = (self.release_tokens + dt * cap / w.lease_s).min(cap);
         self.release_at = now;
-        let recent = self.report_s(2.5);
-        let known = self.start.fleet_known();
-        let mut silent = Vec::new();
-        let mut heard = 0;
-        for (name, m) in &self.machines {
-            let last = m.heard_at.unwrap_or(m.owned_since);
-            let limit = if m.heard_at.is_some() { limit } else { first };
-            let limit = self.given_up_after(name, limit);
-            if m.heard_at.is_some_and(|t| now.saturating_sub(t) < recent) {
-                heard += 1;
-            }
-            let drained = self.view.hosts.get(name).is_some_and(|h| h.rec.drain)
-                && m.confirmed()
-                && m.tasks.is_empty()
-                && !self.view.placed.contains_key(name);
-            if drained && !m.releasing {
-                silent.push((name.clone(), true));
-            } else if m.heard_at.is_none() && !self.view.placed.contains_key(name) {
-                // It was rented and may be booting: the leader waits for it.
-            } else if known && now.saturating_sub(last) > limit && !m.releasing && !self.peers_hear(name) {
-                silent.push((name.clone(), false));
+        let known = self.start.fleet_known() && !self.deaf.is(&self.me, now);
+        let silent_for = |m: &Machine| now.saturating_sub(m.heard_at.unwrap_or(m.owned_since));
+        let site = |name: &str| self.view.hosts.get(name).map_or("", |h| h.rec.site.as_str());
+        let recent = self.report_s(HEARD_REPORTS);
+        let mut zones: BTreeMap<&str, Group> = BTreeMap::new();
+        for (name, m) in self.machines.iter().filter(|(_, m)| m.heard_at.is_some()) {
+            let group = zones.entry(site(name)).or_default();
+            group.all += 1;
+            group.heard += usize::from(silent_for(m) < recent);
+        }
+        // What was cut off comes back one by one: those that are last are not dead.
+        let back = now + first;
+        let sum = |f: fn(&Group) -> usize| zones.values().map(f).sum();
+        let block = Group { heard: sum(|g| g.heard), all: sum(|g| g.all) };
+        for (zone, group) in &zones {
+            if group.silent() || block.silent() {
+                self.cut_until.insert(zone.to_string(), back);
+            }
+        }
+        let all_speak = self.all_speak();
+        let account = |site: &str| {
+            let cut = self.cut_until.get(site).is_some_and(|t| *t > now);
+            if cut { Silence::Cut } else { of_silence(block, zones.get(site).copied().unwrap_or_default(), all_speak) }
+        };
+        let mut out: Vec<(String, &str, bool)> = Vec::new();
+        for (name, m) in self.machines.iter().filter(|(_, m)| !m.releasing) {
+            let silent = silent_for(m);
+            let placed = self.view.placed.contains_key(name);
+            let drained = self.view.hosts.get(name).is_some_and(|h| h.rec.drain) && m.confirmed();
+            if drained && m.tasks.is_empty() && !placed {
+                out.push((name.clone(), "drained", false));
+                continue;
+            }
+            if m.unlisted && silent > self.report_s(UNLISTED_REPORTS) {
+                out.push((name.clone(), "unlisted", false));
+                continue;
+            }
+            let limit = self.given_up_after(name, if m.heard_at.is_some() { limit } else { first });
+            if !known || silent <= limit || self.peers_hear(name) {
+                continue;
+            }
+            if m.heard_at.is_none() && !placed {
+                continue; // it was rented and may be booting: the leader waits for it
+            }
+            let wait = match account(site(name)) {
+                Silence::Dead => limit,
+                Silence::Undecided => limit.max(lapse),
+                Silence::Cut => limit.max(long),
+            };
+            if silent > wait {
+                out.push((name.clone(), "silent", true));
             }
         }
         if !self.may_ask(Retry::Release) {
             return;
         }
         let mut names = Vec::new();
-        for (name, drained) in silent {
+        for (name, reason, limited) in out {
             if names.len() == RELEASE_LIMIT {
                 break;
             }
-            if !drained {
-                if heard * 2 < self.machines.len() && self.machines.len() > 1 || self.release_tokens < 1.0 {
+            if limited {
+                if self.release_tokens < 1.0 {
                     continue;
                 }
                 self.release_tokens -= 1.0;
             }
-            tracing::info!(machine = %name, reason = if drained { "drained" } else { "silent" }, "machine is returned");
+            tracing::info!(machine = %name, reason, "machine is returned");
             if let Some(m) = self.machines.get_mut(&name) {
                 m.releasing = true;
             }
@@ -441,11 +489,9 @@
     }
 
     fn peers_hear(&self, machine: &str) -> bool {
-        let limit = self.report_s(3.0).as_millis() as u64;
-        self.peers.values().any(|p| {
-            let since = self.now.saturating_sub(p.at).as_millis() as u64;
-            p.heard.get(machine).is_some_and(|age| age + since < limit)
-        })
+        let limit = self.round_of_all();
+        let reached = self.probed.get(machine).is_some_and(|t| self.now.saturating_sub(*t) < limit);
+        reached || self.links.hears(machine, limit, self.now)
     }
 
     pub(super) fn release(&mut self, machines: Vec<String>) {
@@ -533,6 +579,6 @@
         self.view.loads.contains_key(name)
             || self.heard.contains_key(name)
             || self.machines.get(name).is_some_and(|m| m.heard_at.is_some())
-            || self.peers.values().any(|p| p.heard.contains_key(name))
+            || self.links.knows(name)
     }
 }
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -58,8 +58,8 @@
         let ours = self.ses.staleness(self.now).unwrap_or(Duration::MAX);
         let margin = self.report_s(1.0);
         let recent =
-            self.peers.values().map(|p| (p, self.now.saturating_sub(p.at))).filter(|(_, since)| *since < margin);
-        let theirs: Vec<Duration> = recent.map(|(p, since)| p.stale().saturating_add(since)).collect();
+            self.links.peers().map(|(_, p)| (p, self.now.saturating_sub(p.at))).filter(|(_, since)| *since < margin);
+        let theirs: Vec<Duration> = recent.map(|(p, since)| p.stale.saturating_add(since)).collect();
         let fresher = theirs.iter().any(|t| t.saturating_add(margin) < ours);
         // Others say that they are no better off: then the first request after
         // the outage finds a way in, and need not wait for probes.
--- a/src/controller/start.rs
+++ b/src/controller/start.rs
@@ -57,7 +57,7 @@
         for (name, h) in &self.view.hosts {
             let heard = self.heard.contains_key(name)
                 || self.machines.get(name).is_some_and(|m| m.heard_at.is_some())
-                || self.peers.values().any(|p| p.heard.contains_key(name));
+                || self.links.knows(name);
             // What the cloud lists as booting, or not at all, is not waited for.
             let running = |l: &Listed| l.phase == Listing::Running;
             if !heard && listed && !self.list.get(name).is_some_and(running) {
--- a/src/controller/sync.rs
+++ b/src/controller/sync.rs
@@ -9,6 +9,12 @@
     pub(super) fn sync_tick(&mut self) {
         let now = self.now;
         let ttl = self.ses.ttl;
+        // Renewals that get through without their answers would keep a member alive
+        // that sees nothing: it gives its lease up, and the others take over.
+        if self.ses.lease.is_some() && now.saturating_sub(self.ses.lease_from) > ttl {
+            tracing::info!("lease at the state service is given up, renewals get no answer");
+            self.ses.lease = None;
+        }
         let asks = if self.ses.lease.is_some() { Retry::Renew } else { Retry::Lease };
         if !self.ses.lease_busy && now >= self.ses.lease_next && self.retry.may(asks, now) {
             self.ses.lease_busy = true;
@@ -73,8 +79,8 @@
         if self.view.is_live(&self.me, self.incarnation) || self.busy.contains(&key) {
             return;
         }
-        if !self.writes.has(self.now, 1.0) {
-            return;
+        if !self.retry.may(Retry::Write, self.now) {
+            return; // no other limit: who is no member can do nothing else
         }
         let version = self.view.members.get(&self.me).map_or(0, |m| m.version);
         let rec = records::MemberRec { incarnation: self.incarnation };
@@ -95,6 +101,7 @@
                     && let Ok(l) = decode::<Lease>(&r.body)
                 {
                     self.ses.lease = Some(l.id);
+                    self.ses.lease_from = now;
                     if self.ses.following() {
                         self.member_tick();
                     }
@@ -104,7 +111,11 @@
             }
             Purpose::Renew => {
                 self.ses.lease_busy = false;
-                if result.is_err() || result.as_ref().is_ok_and(|r| r.status != 200) {
+                if result.is_ok() {
+                    // A refusal is an answer: it was not carried out.
+                    self.ses.lease_from = now;
+                }
+                if !result.as_ref().is_ok_and(|r| r.status == 200) {
                     self.ses.lease_next = now; // as soon as the retry policy allows
                 }
                 if result.is_ok_and(|r| r.status == 404) {
--- a/src/coordination/blocks.rs
+++ b/src/coordination/blocks.rs
@@ -5,7 +5,7 @@
 use crate::bookkeeping::records::{PackRec, Share};
 use crate::placement::{Room, zone_room};
 use crate::protocol::user::JobSpec;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// Machines that share a record and shall go to another controller.
@@ -15,28 +15,56 @@
     pub to: String,
 }
 
-/// Moves that give every machine a live owner and level the blocks, by type.
-/// `deaf` are machines that do not reach their owner, but do reach `.1`.
-pub fn wanted_moves(view: &View, deaf: &[(String, String)], may_level: bool, limit: usize) -> Vec<Move> {
-    if view.members.is_empty() {
-        return Vec::new();
+/// Machines that each member holds, by type and in all; members without any
+/// count, those that are deaf do not.
+struct Loads<'a> {
+    by_build: BTreeMap<(&'a str, &'a str), i64>,
+    total: BTreeMap<&'a str, i64>,
+}
+
+impl<'a> Loads<'a> {
+    fn of(view: &'a View, deaf: &BTreeSet<&str>) -> Loads<'a> {
+        let total = view.members.keys().map(|m| (m.as_str(), 0)).filter(|(m, _)| !deaf.contains(m)).collect();
+        let mut loads = Loads { by_build: BTreeMap::new(), total };
+        for p in view.packs.values() {
+            loads.add(&p.rec.build, &p.rec.owner, p.rec.machines.len() as i64);
+        }
+        loads
     }
-    let mut moves = Vec::new();
-    let mut load: BTreeMap<(&str, &str), i64> = BTreeMap::new();
-    let mut total: BTreeMap<&str, i64> = view.members.keys().map(|m| (m.as_str(), 0)).collect();
-    // A restarted holder gets its own back, all at once.
-    for p in view.packs.values().filter(|p| view.members.contains_key(&p.rec.owner)) {
-        *load.entry((&p.rec.build, &p.rec.owner)).or_default() += p.rec.machines.len() as i64;
-        *total.entry(&p.rec.owner).or_default() += p.rec.machines.len() as i64;
+
+    /// What is held by no member counts for nobody.
+    fn add(&mut self, build: &'a str, member: &'a str, machines: i64) {
+        if let Some(n) = self.total.get_mut(member) {
+            *n += machines;
+            *self.by_build.entry((build, member)).or_default() += machines;
+        }
+    }
+
+    fn of_build(&self, build: &str, member: &str) -> i64 {
+        self.by_build.get(&(build, member)).copied().unwrap_or(0)
+    }
+
+    fn lightest(&self, build: &str) -> Option<&'a str> {
+        self.total.iter().min_by_key(|(m, n)| (self.of_build(build, m), **n)).map(|(m, _)| *m)
     }
-    for (name, p) in view.packs.iter().filter(|(_, p)| !view.members.contains_key(&p.rec.owner)) {
-        let build = p.rec.build.as_str();
-        let Some(to) = lightest(&load, &total, build) else { break };
-        *load.entry((build, to)).or_default() += p.rec.machines.len() as i64;
-        *total.entry(to).or_default() += p.rec.machines.len() as i64;
+}
+
+/// Moves that give every machine an owner that lives and hears it, `limit` at
+/// most. `deaf` are members that do not hear their machines; `unreached` are
+/// machines that do not reach their owner, but do reach `.1`.
+pub fn wanted_moves(view: &View, deaf: &BTreeSet<&str>, unreached: &[(String, String)], limit: usize) -> Vec<Move> {
+    let mut moves = Vec::new();
+    let mut loads = Loads::of(view, deaf);
+    let left = |owner: &str| !view.members.contains_key(owner) || deaf.contains(owner);
+    for (name, p) in view.packs.iter().filter(|(_, p)| left(&p.rec.owner)) {
+        if moves.len() == limit {
+            return moves;
+        }
+        let Some(to) = loads.lightest(&p.rec.build) else { return moves };
+        loads.add(&p.rec.build, to, p.rec.machines.len() as i64);
         moves.push(Move { pack: name.clone(), to: to.to_string() });
     }
-    for (machine, to) in deaf {
+    for (machine, to) in unreached {
         if let Some(h) = view.hosts.get(machine).filter(|h| h.rec.owner != *to)
             && view.members.contains_key(to)
             && !moves.iter().any(|m| m.pack == h.rec.pack)
@@ -44,42 +72,32 @@
             moves.push(Move { pack: h.rec.pack.clone(), to: to.clone() });
         }
     }
-    if moves.is_empty() && may_level {
-        moves.extend(level(view, &load, &total));
-    }
     moves.truncate(limit);
     moves
 }
 
-fn lightest<'a>(load: &BTreeMap<(&str, &str), i64>, total: &BTreeMap<&'a str, i64>, build: &str) -> Option<&'a str> {
-    total.iter().min_by_key(|(m, n)| (load.get(&(build, **m)).copied().unwrap_or(0), **n)).map(|(m, _)| *m)
-}
-
 /// The lightest of `members` for each of so many machines of a type.
-pub fn spread<'a>(view: &'a View, build: &str, machines: usize, pack: usize) -> Vec<&'a str> {
-    let mut load: BTreeMap<(&str, &str), i64> = BTreeMap::new();
-    let mut total: BTreeMap<&str, i64> = view.members.keys().map(|m| (m.as_str(), 0)).collect();
-    for p in view.packs.values() {
-        *load.entry((&p.rec.build, &p.rec.owner)).or_default() += p.rec.machines.len() as i64;
-        total.entry(&p.rec.owner).and_modify(|n| *n += p.rec.machines.len() as i64);
-    }
+pub fn spread<'a>(view: &'a View, deaf: &BTreeSet<&str>, build: &'a str, machines: usize, pack: usize) -> Vec<&'a str> {
+    let mut loads = Loads::of(view, deaf);
     let mut out = Vec::new();
     for _ in 0..machines.div_ceil(pack.max(1)) {
-        let Some(to) = lightest(&load, &total, build) else { break };
+        let Some(to) = loads.lightest(build) else { break };
         out.push(to);
-        *load.entry((build, to)).or_default() += pack as i64;
-        total.entry(to).and_modify(|n| *n += pack as i64);
+        loads.by_build.entry((build, to)).and_modify(|n| *n += pack as i64).or_insert(pack as i64);
+        loads.total.entry(to).and_modify(|n| *n += pack as i64);
     }
     out
 }
 
 /// One pack from the heaviest block to the lightest, where that levels them.
-fn level(view: &View, load: &BTreeMap<(&str, &str), i64>, total: &BTreeMap<&str, i64>) -> Option<Move> {
-    let builds: std::collections::BTreeSet<&str> = load.keys().map(|k| k.0).collect();
+/// `reach` says whether a machine reaches a member, as far as is known.
+pub fn level(view: &View, deaf: &BTreeSet<&str>, reach: impl Fn(&str, &str) -> bool) -> Option<Move> {
+    let loads = Loads::of(view, deaf);
+    let builds: BTreeSet<&str> = loads.by_build.keys().map(|k| k.0).collect();
     for build in builds {
-        let of = |m: &str| load.get(&(build, m)).copied().unwrap_or(0);
-        let low = total.keys().min_by_key(|m| (of(m), total[**m]))?;
-        let high = total.keys().max_by_key(|m| (of(m), total[**m]))?;
+        let of = |m: &str| loads.of_build(build, m);
+        let low = loads.total.keys().min_by_key(|m| (of(m), loads.total[**m]))?;
+        let high = loads.total.keys().max_by_key(|m| (of(m), loads.total[**m]))?;
         if of(high) - of(low) >= 2 {
             let most = (of(high) - of(low)) / 2;
             let placed =
@@ -88,7 +106,7 @@
                 .packs
                 .iter()
                 .filter(|(_, p)| p.rec.build == build && p.rec.owner == *high && p.rec.machines.len() as i64 <= most)
-                .filter(|(_, p)| view.held(p))
+                .filter(|(_, p)| view.held(p) && p.rec.machines.iter().all(|m| reach(m, low)))
                 .min_by_key(|(_, p)| placed(&p.rec))
                 .map(|(name, _)| name.clone());
             if let Some(pack) = pack {
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -58,6 +58,8 @@
     /// Images it fetches, and since when that is known.
     pub fetches: BTreeMap<String, Instant>,
     pub releasing: bool,
+    /// The cloud lists it no more, by somebody's word.
+    pub unlisted: bool,
     /// When each task was first seen to run.
     pub since: BTreeMap<(String, u32, u64), Instant>,
     /// Tasks that are stopped to make room for more urgent ones, or because the
@@ -94,6 +96,7 @@
             images: Images::default(),
             fetches: BTreeMap::new(),
             releasing: false,
+            unlisted: false,
             since: BTreeMap::new(),
             preempted: BTreeMap::new(),
             gone: BTreeSet::new(),
--- a/src/coordination/session.rs
+++ b/src/coordination/session.rs
@@ -17,8 +17,8 @@
 pub struct Session {
     pub load: Load,
     pub lease: Option<u64>,
-    /// The lease holds at least until then, unless it is renewed.
-    pub lease_until: Instant,
+    /// When the last answer about the lease came.
+    pub lease_from: Instant,
     pub lease_busy: bool,
     pub lease_next: Instant,
     pub scan_busy: bool,
@@ -46,7 +46,7 @@
         Session {
             load: Load::Reading,
             lease: None,
-            lease_until: Duration::ZERO,
+            lease_from: Duration::ZERO,
             lease_busy: false,
             lease_next: Duration::ZERO,
             scan_busy: false,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod coordination;
 pub mod effects;
 pub mod fleet;
+pub mod links;
 pub mod placement;
 pub use finchquay_protocol as protocol;
 pub mod recovery;
--- /dev/null
+++ b/src/links/table.rs
@@ -0,0 +1,305 @@
+//! The link table: what each other controller said last, when it can have said
+//! it, and so what is known to pass between it and us, each way.
+//!
+//! A beat may be held back by a cut and come minutes late. It carries the highest
+//! of our beats that its sender had, so it was sent after that one: a beat whose
+//! echo is old is old news, or comes over a link that works one way only, and is
+//! treated as the worse of the two.
+
+use super::arrivals::Arrivals;
+use crate::protocol::peer::{Beat, Echo};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+
+/// Above this a peer's silence counts: it would come by luck once in a thousand.
+const SUSPECT: f64 = 3.0;
+/// An echo may be this many beats old, and the news still counts as new.
+const ECHO_BEATS: f64 = 2.5;
+/// So many of our own beats are remembered.
+const REMEMBERED: usize = 64;
+
+/// What one other controller said last.
+#[derive(Debug)]
+pub struct Peer {
+    arrivals: Arrivals,
+    /// When its last beat came.
+    pub at: Duration,
+    incarnation: u64,
+    seq: u64,
+    /// How old its view of the store was.
+    pub stale: Duration,
+    /// Machines that had reported to it, and how long before.
+    heard: HashMap<String, Duration>,
+    /// Silent machines that answered its call, and how long before.
+    reached: HashMap<String, Duration>,
+    /// Machines of its own that it neither hears nor reaches.
+    misses: BTreeSet<String>,
+    /// It was sent after this: when we sent what it echoes.
+    pub sent_after: Option<Duration>,
+    /// Revision of its view; none while it has none.
+    revision: Option<u64>,
+    /// Live controllers in its view, if that was fresh.
+    members: Vec<(String, u64)>,
+}
+
+impl Peer {
+    /// Machines that had reported to it, and how long before its beat.
+    pub fn heard(&self) -> impl Iterator<Item = (&str, Duration)> {
+        self.heard.iter().map(|(m, age)| (m.as_str(), *age))
+    }
+}
+
+#[derive(Debug)]
+pub struct Links {
+    me: String,
+    incarnation: u64,
+    every: Duration,
+    seq: u64,
+    /// Our last beats, and when they went.
+    sent: VecDeque<(u64, Duration)>,
+    peers: BTreeMap<String, Peer>,
+}
+
+impl Links {
+    /// `every`: the interval of beats.
+    pub fn new(me: &str, incarnation: u64, every: Duration) -> Links {
+        Links { me: me.into(), incarnation, every, seq: 0, sent: VecDeque::new(), peers: BTreeMap::new() }
+    }
+
+    /// The number of a beat that goes now, and the echoes that it carries.
+    pub fn send(&mut self, now: Duration) -> (u64, Vec<Echo>) {
+        self.seq += 1;
+        self.sent.push_back((self.seq, now));
+        if self.sent.len() > REMEMBERED {
+            self.sent.pop_front();
+        }
+        let echo = |(m, p): (&String, &Peer)| Echo { member: m.clone(), incarnation: p.incarnation, seq: p.seq };
+        (self.seq, self.peers.iter().map(echo).collect())
+    }
+
+    /// Takes a beat in.
+    pub fn receive(&mut self, member: &str, beat: &Beat, now: Duration) {
+        let mine = |e: &&Echo| e.member == self.me && e.incarnation == self.incarnation;
+        let echoed = beat.echo.iter().find(mine).map(|e| e.seq);
+        let sent_after = echoed.and_then(|n| self.sent.iter().find(|(seq, _)| *seq == n)).map(|(_, at)| *at);
+        let every = self.every;
+        let p = self.peers.entry(member.to_string()).or_insert_with(|| Peer {
+            arrivals: Arrivals::new(every),
+            at: now,
+            incarnation: beat.incarnation,
+            seq: 0,
+            stale: Duration::MAX,
+            heard: HashMap::new(),
+            reached: HashMap::new(),
+            misses: BTreeSet::new(),
+            sent_after: None,
+            revision: None,
+            members: Vec::new(),
+        });
+        if p.incarnation == beat.incarnation && beat.seq <= p.seq {
+            return; // held back, and overtaken over a newer connection
+        }
+        p.arrivals.arrived(now);
+        (p.at, p.incarnation, p.seq) = (now, beat.incarnation, beat.seq);
+        p.stale = Duration::from_millis(beat.stale_ms);
+        let ages =
+            |list: &[(String, u64)]| list.iter().map(|(m, ms)| (m.clone(), Duration::from_millis(*ms))).collect();
+        (p.heard, p.reached) = (ages(&beat.heard), ages(&beat.reached));
+        p.misses = beat.asks.iter().map(|a| a.0.clone()).filter(|m| !p.reached.contains_key(m)).collect();
+        p.sent_after = sent_after;
+        p.revision = beat.revision;
+        p.members.clone_from(&beat.members);
+    }
+
+    pub fn peers(&self) -> impl Iterator<Item = (&str, &Peer)> {
+        self.peers.iter().map(|(m, p)| (m.as_str(), p))
+    }
+
+    /// Its last beat is as new as it seems, and it hears us.
+    pub fn news(&self, member: &str) -> Option<&Peer> {
+        let p = self.peers.get(member)?;
+        let oldest = p.at.saturating_sub(self.every.mul_f64(ECHO_BEATS));
+        p.sent_after.is_some_and(|t| t >= oldest).then_some(p)
+    }
+
+    /// Both ways work, as far as can be known now.
+    pub fn both_ways(&self, member: &str, now: Duration) -> bool {
+        self.news(member).is_some_and(|p| p.arrivals.suspicion(now) < SUSPECT)
+    }
+
+    /// When a machine last reported to a peer, by its newest news.
+    pub fn heard_at(&self, member: &str, machine: &str) -> Option<Duration> {
+        let p = self.news(member)?;
+        Some(p.at.saturating_sub(*p.heard.get(machine)?))
+    }
+
+    /// Whether any peer ever told of the machine in its last beat.
+    pub fn knows(&self, machine: &str) -> bool {
+        self.peers.values().any(|p| p.heard.contains_key(machine))
+    }
+
+    /// Machines that a peer misses, by its news.
+    pub fn misses(&self, member: &str) -> impl Iterator<Item = &str> {
+        self.news(member).into_iter().flat_map(|p| &p.misses).map(String::as_str)
+    }
+
+    /// When a machine that was silent answered a peer's call, by its news.
+    pub fn reached_at(&self, member: &str, machine: &str) -> Option<Duration> {
+        let p = self.news(member)?;
+        Some(p.at.saturating_sub(*p.reached.get(machine)?))
+    }
+
+    /// Whether some peer heard or reached the machine within `limit`, news or not:
+    /// a doubt is enough to spare it.
+    pub fn hears(&self, machine: &str, limit: Duration, now: Duration) -> bool {
+        let late = |p: &Peer, age: &Duration| *age + now.saturating_sub(p.at) < limit;
+        let ages = |p: &'_ Peer| [p.heard.get(machine).copied(), p.reached.get(machine).copied()];
+        self.peers.values().any(|p| ages(p).iter().flatten().any(|age| late(p, age)))
+    }
+
+    /// A controller that reaches the store now, as far as its news tell.
+    pub fn served(&self, now: Duration, stale: Duration) -> Option<&str> {
+        let well = |m: &str, p: &Peer| p.stale < stale && self.both_ways(m, now);
+        self.peers().find(|(m, p)| well(m, p)).map(|(m, _)| m)
+    }
+
+    /// A controller whose fresh view no longer has us among the living: what we
+    /// held is others' by now, or soon will be.
+    pub fn expelled_by(&self, now: Duration) -> Option<&str> {
+        let out = |p: &Peer| {
+            let us = |(m, i): &(String, u64)| *m == self.me && *i == self.incarnation;
+            !p.members.is_empty() && !p.members.iter().any(us)
+        };
+        self.peers().find(|(m, p)| out(p) && self.both_ways(m, now)).map(|(m, _)| m)
+    }
+
+    /// The time at which, by the word of all `others`, no view was newer than one
+    /// at `revision`; none if one of them does not say so.
+    ///
+    /// Proof that such a view may be acted on as if it had been read then. Each of
+    /// them said it after the beat of ours that it echoes, and the oldest of these
+    /// counts, T. What a controller tells users of withdrawals it tells from its
+    /// view, so all that was told by T is in ours. What it holds of machines it
+    /// holds since its view showed the grant, so whoever got a machine of ours has
+    /// it since T at the earliest, and waits `cancel_s` from then before it calls
+    /// the machine lapsed. Both are what a read of the store at T gives. A change
+    /// that is carried out and in no view yet is told and acted on after T. One
+    /// that restarted has no view until it has read all that its predecessor can
+    /// have acted on, and says nothing before.
+    pub fn attested(&self, others: impl IntoIterator<Item = impl AsRef<str>>, revision: u64) -> Option<Duration> {
+        let mut oldest = Some(Duration::MAX);
+        for other in others {
+            let p = self.peers.get(other.as_ref());
+            let attests = p.filter(|p| p.revision.is_some_and(|r| r <= revision)).and_then(|p| p.sent_after);
+            oldest = oldest.zip(attests).map(|(a, b)| a.min(b));
+        }
+        oldest.filter(|t| *t < Duration::MAX)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn s(x: f64) -> Duration {
+        Duration::from_secs_f64(x)
+    }
+
+    fn beat(seq: u64, echo: Option<u64>, heard: &[(&str, u64)], revision: Option<u64>) -> Beat {
+        Beat {
+            incarnation: 9,
+            seq,
+            echo: echo.map(|seq| Echo { member: "me".into(), incarnation: 1, seq }).into_iter().collect(),
+            heard: heard.iter().map(|(m, ms)| (m.to_string(), *ms)).collect(),
+            revision,
+            ..Beat::default()
+        }
+    }
+
+    fn links() -> Links {
+        Links::new("me", 1, s(2.0))
+    }
+
+    /// Beats held back by a cut came when it ended, and machines that had moved
+    /// long ago counted as heard a moment before.
+    #[test]
+    fn a_beat_that_was_held_back_is_no_news() {
+        let mut l = links();
+        let (n, _) = l.send(s(10.0));
+        l.receive("a", &beat(5, Some(n), &[("host-1", 500)], None), s(10.5));
+        assert_eq!(l.heard_at("a", "host-1"), Some(s(10.0)));
+        assert!(l.both_ways("a", s(11.0)));
+        // The link is cut; what was sent at 12 comes at 60, echoing what went at 10.
+        (0..25).for_each(|i| drop(l.send(s(12.0 + 2.0 * f64::from(i)))));
+        l.receive("a", &beat(6, Some(n), &[("host-1", 100)], None), s(60.0));
+        assert_eq!(l.heard_at("a", "host-1"), None);
+        assert!(!l.both_ways("a", s(60.1)));
+        assert!(l.hears("host-1", s(6.0), s(60.1)), "a doubt spares it all the same");
+    }
+
+    /// A link that works one way only is no link.
+    #[test]
+    fn who_does_not_hear_us_is_not_reached() {
+        let mut l = links();
+        for n in 1..20 {
+            l.send(s(f64::from(n) * 2.0));
+            l.receive("a", &beat(n as u64, None, &[], None), s(f64::from(n) * 2.0 + 0.1));
+        }
+        assert!(!l.both_ways("a", s(38.2)));
+        // An echo of an earlier process of ours is none.
+        let mut b = beat(30, Some(19), &[], None);
+        b.echo[0].incarnation = 7;
+        l.receive("a", &b, s(38.3));
+        assert!(!l.both_ways("a", s(38.4)));
+        l.receive("a", &beat(31, Some(19), &[], None), s(38.5));
+        assert!(l.both_ways("a", s(38.6)) && !l.both_ways("a", s(50.0)), "silence counts");
+    }
+
+    /// An older beat over an older connection must not undo a newer one.
+    #[test]
+    fn an_overtaken_beat_changes_nothing() {
+        let mut l = links();
+        let (n, _) = l.send(s(1.0));
+        l.receive("a", &beat(8, Some(n), &[("host-1", 0)], None), s(1.2));
+        l.receive("a", &beat(7, Some(n), &[], None), s(1.3));
+        assert!(l.heard_at("a", "host-1").is_some());
+        let (_, echoes) = l.send(s(3.0));
+        assert_eq!((echoes[0].seq, echoes[0].incarnation), (8, 9));
+    }
+
+    /// A controller that the store alone refuses went on answering its machines for
+    /// as long as it might, while their new owner waited for them.
+    #[test]
+    fn a_fresh_view_without_us_is_noticed() {
+        let mut l = links();
+        let (n, _) = l.send(s(10.0));
+        let with = |seq, members: &[(&str, u64)]| Beat {
+            members: members.iter().map(|(m, i)| (m.to_string(), *i)).collect(),
+            ..beat(seq, Some(n), &[], Some(5))
+        };
+        l.receive("a", &with(1, &[("a", 9), ("me", 1)]), s(10.1));
+        assert_eq!((l.expelled_by(s(10.2)), l.served(s(10.2), s(2.0))), (None, Some("a")));
+        l.receive("a", &with(2, &[]), s(10.3));
+        assert_eq!(l.expelled_by(s(10.4)), None, "it does not know");
+        l.receive("a", &with(3, &[("a", 9), ("me", 7)]), s(10.5));
+        assert_eq!(l.expelled_by(s(10.6)), Some("a"), "that was another process");
+        assert_eq!(l.expelled_by(s(60.0)), None, "old news");
+    }
+
+    /// One missing, doubtful or older word ends the attestation.
+    #[test]
+    fn all_must_attest_and_the_oldest_word_counts() {
+        let mut l = links();
+        let (first, _) = l.send(s(10.0));
+        let (second, _) = l.send(s(12.0));
+        l.receive("a", &beat(1, Some(second), &[], Some(40)), s(12.1));
+        assert_eq!(l.attested(["a", "b"], 50), None, "b said nothing");
+        l.receive("b", &beat(1, Some(first), &[], None), s(12.2));
+        assert_eq!(l.attested(["a", "b"], 50), None, "b has no view");
+        l.receive("b", &beat(2, Some(first), &[], Some(60)), s(12.3));
+        assert_eq!(l.attested(["a", "b"], 50), None, "b has a newer view");
+        assert_eq!(l.attested(["a", "b"], 60), Some(s(10.0)));
+        l.receive("b", &beat(3, None, &[], Some(60)), s(12.4));
+        assert_eq!(l.attested(["a", "b"], 60), None, "b does not hear us");
+    }
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1,6 +1,7 @@
 //! Failures played against a few controllers on a fake clock. The world checks
 //! the rules at every step; the tests say what must still get done.
 
+mod links;
 mod recovery;
 mod world;
 
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -153,6 +153,11 @@
         Self::ok(cbor!({"rows" => rows, "truncated" => all.len() > 7, "ledger_no" => self.ledger}).unwrap())
     }
 
+    /// Carries out a transaction that nobody waits for any more.
+    pub fn apply(&mut self, now: Duration, body: &Value) {
+        self.multi(now, body);
+    }
+
     /// Carries out late what was held.
     pub fn let_go(&mut self, now: Duration) {
         self.holds_writes = false;
@@ -202,6 +207,12 @@
         self.changes.iter().filter(|c| c.0 > after && c.1.starts_with(prefix)).count()
     }
 
+    /// The number of the controller that leads.
+    pub fn leader(&self) -> Option<usize> {
+        let lead = &self.keys.get("fq/lead")?.data;
+        text(lead, "member").trim_start_matches("perch-").parse().ok()
+    }
+
     pub fn ledger(&self) -> u64 {
         self.ledger
     }
