--- a/crates/rehearsal/scenarios/lost-tasks.hcl
+++ b/crates/rehearsal/scenarios/lost-tasks.hcl
@@ -5,6 +5,6 @@
 fault "lose" {
   kind = "write_lost"
   at_s = 10
-  prefix = "fq/t/"
+  prefix = "fq/l/"
   count = 4
 }
--- a/crates/rehearsal/scenarios/write-late.hcl
+++ b/crates/rehearsal/scenarios/write-late.hcl
@@ -14,7 +14,7 @@
 fault "late-1" {
   kind = "write_late"
   at_s = 7
-  prefix = "fq/t/"
+  prefix = "fq/l/"
   late_s = 3
   count = 3
 }
@@ -22,7 +22,7 @@
 fault "late-2" {
   kind = "write_late"
   at_s = 12
-  prefix = "fq/t/"
+  prefix = "fq/l/"
   late_s = 3
   count = 3
 }
@@ -30,7 +30,7 @@
 fault "late-3" {
   kind = "write_late"
   at_s = 16
-  prefix = "fq/t/"
+  prefix = "fq/l/"
   late_s = 3
   count = 3
 }
@@ -54,7 +54,7 @@
 fault "late-6" {
   kind = "write_late"
   at_s = 24
-  prefix = "fq/t/"
+  prefix = "fq/l/"
   late_s = 25
   count = 2
 }
--- a/crates/rehearsal/scenarios/write-unanswered.hcl
+++ b/crates/rehearsal/scenarios/write-unanswered.hcl
@@ -12,7 +12,7 @@
 fault "mute-1" {
   kind = "write_unanswered"
   at_s = 10
-  prefix = "fq/t/"
+  prefix = "fq/l/"
   count = 3
 }
 
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -3,10 +3,12 @@
 
 pub mod aims;
 pub mod records;
+pub mod segment;
 
 use crate::protocol::user::{Form, JobSpec, Status};
 use ciborium::Value;
 use records::*;
+use segment::{Facts, SegmentRec};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
@@ -15,12 +17,48 @@
 pub struct Job {
     pub spec: JobSpec,
     pub rec: Versioned<JobRec>,
-    /// By chunk number; absent: nothing started yet, version 0.
-    pub chunks: BTreeMap<u32, Versioned<ChunkRec>>,
+    /// By chunk number; absent: nothing started yet.
+    pub chunks: BTreeMap<u32, Chunk>,
     pub done: u32,
     pub placed: u32,
 }
 
+/// The state of a run of tasks: its checkpoint, and what segments said since.
+#[derive(Debug, Clone, Default)]
+pub struct Chunk {
+    pub rec: ChunkRec,
+    /// Of the checkpoint in the store; 0: there is none.
+    pub version: u64,
+    /// Revision of the newest segment that is in `rec`.
+    pub last: u64,
+}
+
+/// A slot of a controller's log.
+#[derive(Debug, Clone, Default)]
+pub struct Slot {
+    pub version: u64,
+    pub seq: u64,
+    /// Jobs and chunks that its segment speaks of.
+    pub touched: Vec<(String, u32)>,
+}
+
+/// A controller's log as far as it has come.
+#[derive(Debug, Default)]
+pub struct Log {
+    /// The number of its newest segment.
+    pub seq: u64,
+    pub slots: BTreeMap<u64, Slot>,
+}
+
+/// A segment that was read while the state is loaded, to be replayed in order.
+#[derive(Debug)]
+struct Pending {
+    version: u64,
+    member: String,
+    slot: u64,
+    rec: SegmentRec,
+}
+
 impl Job {
     pub fn chunk_count(&self, size: u32) -> u32 {
         self.spec.parcels.div_ceil(size)
@@ -30,6 +68,11 @@
         self.rec.rec.end == Some(Status::Withdrawn)
     }
 
+    /// Nothing of it is left to be done or waited for, but to say so.
+    pub fn complete(&self) -> bool {
+        if self.withdrawn() { self.placed == 0 } else { self.done >= self.spec.parcels }
+    }
+
     pub fn is_done(&self, index: u32, size: u32) -> bool {
         let chunk = self.chunks.get(&(index / size));
         chunk.is_some_and(|c| in_ranges(&c.rec.done, index))
@@ -217,6 +260,14 @@
     pub loads: HashMap<String, Load>,
     /// Jobs that were seen to be done: the spec and the time of submission.
     pub finished: Vec<(JobSpec, u64)>,
+    /// The controllers' logs, by member.
+    pub logs: BTreeMap<String, Log>,
+    /// Jobs whose last task was done or gone, to be ended.
+    pub complete: Vec<String>,
+    /// The form of the records, as far as it is known.
+    pub form: u32,
+    /// While the state is loaded: segments read, up to a revision.
+    pending: Option<(u64, Vec<Pending>)>,
     /// Chunks whose job record has not been seen yet.
     orphans: BTreeMap<(String, u32), Versioned<ChunkRec>>,
     pub teams: Versions<TeamRec>,
@@ -227,10 +278,30 @@
         View { chunk_size, ..View::default() }
     }
 
+    /// A view to be loaded: pages first, of a ledger at `revision` when the first
+    /// was read, then `loaded`.
+    pub fn loading(chunk_size: u32, revision: u64) -> View {
+        View { pending: Some((revision, Vec::new())), ..View::new(chunk_size) }
+    }
+
+    /// All pages are read. Segments of up to the revision of the first page are
+    /// replayed in the ledger's order; what is newer comes again from the watch.
+    pub fn loaded(&mut self) {
+        let Some((revision, mut segments)) = self.pending.take() else { return };
+        segments.sort_by_key(|p| p.version);
+        for p in segments {
+            self.put_segment(&p.member, p.slot, p.rec, p.version);
+        }
+        self.revision = revision;
+    }
+
     /// Takes in a put, unless what is known of the key is as new.
     pub fn put(&mut self, key: &str, data: &Value, version: u64) {
         match parse_key(key) {
-            Some(Key::Term) => keep(&mut self.term, data, version),
+            Some(Key::Term) => {
+                keep(&mut self.term, data, version);
+                self.form = self.term.as_ref().map_or(0, |t| t.rec.form);
+            }
             Some(Key::Lead) => {
                 self.members_changed += 1;
                 keep(&mut self.lead, data, version);
@@ -264,6 +335,11 @@
                     self.put_chunk(uid, n, rec, version);
                 }
             }
+            Some(Key::Log(member, slot)) => {
+                if let Some(rec) = from_value(data) {
+                    self.put_segment(member, slot, rec, version);
+                }
+            }
             None => {}
         }
     }
@@ -345,6 +421,7 @@
         if let Some(job) = self.jobs.get_mut(uid) {
             if version > job.rec.version {
                 job.rec = Versioned { rec, version };
+                self.note_complete(uid);
             }
             return;
         }
@@ -359,7 +436,10 @@
         }
     }
 
-    fn put_chunk(&mut self, uid: &str, n: u32, rec: ChunkRec, version: u64) {
+    /// A checkpoint. It says nothing that segments have not said, so it counts
+    /// only where they are not all known here: while the state is loaded, and for
+    /// records of versions before the logs.
+    fn put_chunk(&mut self, uid: &str, n: u32, mut rec: ChunkRec, version: u64) {
         if self.ended.contains_key(uid) {
             return;
         }
@@ -367,26 +447,122 @@
             self.orphans.insert((uid.to_string(), n), Versioned { rec, version });
             return;
         };
-        if job.chunks.get(&n).is_some_and(|c| c.version >= version) {
+        let chunk = job.chunks.entry(n).or_default();
+        if chunk.version >= version {
             return;
         }
-        let old = job.chunks.remove(&n).map(|c| c.rec).unwrap_or_default();
-        job.done = job.done + count_ranges(&rec.done) - count_ranges(&old.done);
-        job.placed = job.placed + rec.on.len() as u32 - old.on.len() as u32;
-        unplace(&mut self.placed, &mut self.loads, &job.spec, &old);
-        for p in &rec.on {
-            let on = self.placed.entry(p.machine.clone()).or_default();
-            if on.insert((uid.to_string(), p.index), p.attempt).is_none() {
-                self.loads.entry(p.machine.clone()).or_default().add(&job.spec);
+        chunk.version = version;
+        if rec.asof == 0 {
+            rec.asof = version;
+        }
+        if chunk.last > rec.asof {
+            chunk.rec.asof = rec.asof;
+            return;
+        }
+        chunk.last = rec.asof;
+        let old = std::mem::replace(&mut chunk.rec, rec);
+        job.done = job.done + count_ranges(&chunk.rec.done) - count_ranges(&old.done);
+        job.placed = job.placed + chunk.rec.on.len() as u32 - old.on.len() as u32;
+        for p in &old.on {
+            unplace(&mut self.placed, &mut self.loads, &job.spec, p);
+        }
+        for p in &job.chunks[&n].rec.on {
+            place(&mut self.placed, &mut self.loads, &job.spec, p);
+        }
+        self.note_complete(uid);
+    }
+
+    fn put_segment(&mut self, member: &str, slot: u64, rec: SegmentRec, version: u64) {
+        if let Some((revision, segments)) = &mut self.pending {
+            if version <= *revision {
+                segments.push(Pending { version, member: member.into(), slot, rec });
             }
+            return;
+        }
+        let log = self.logs.entry(member.to_string()).or_default();
+        if log.slots.get(&slot).is_some_and(|s| s.version >= version) {
+            return;
+        }
+        let most = self.jobs.values().map(|j| j.spec.parcels).max().unwrap_or(0);
+        let facts = match rec.facts(most) {
+            Ok(facts) => facts,
+            Err(e) => {
+                tracing::error!(%member, slot, %e);
+                BTreeMap::new()
+            }
+        };
+        let size = self.chunk_size;
+        let mut touched: BTreeSet<(&str, u32)> = BTreeSet::new();
+        for (uid, f) in &facts {
+            let gone = f.gone.iter().map(|g| g.0);
+            let indexes = f.done.iter().copied().chain(gone).chain(f.starts.iter().map(|p| p.index));
+            touched.extend(indexes.map(|i| (*uid, i / size)));
+        }
+        let touched = touched.into_iter().map(|(uid, n)| (uid.to_string(), n)).collect();
+        log.seq = log.seq.max(rec.seq);
+        log.slots.insert(slot, Slot { version, seq: rec.seq, touched });
+        for (uid, f) in &facts {
+            self.apply(uid, f, version);
+        }
+    }
+
+    /// Replays facts about one job's tasks. Those that a checkpoint holds are
+    /// left out; a job that is over needs none.
+    fn apply(&mut self, uid: &str, facts: &Facts, version: u64) {
+        let size = self.chunk_size;
+        let Some(job) = self.jobs.get_mut(uid) else { return };
+        let parcels = job.spec.parcels;
+        let gone = facts.gone.iter().map(|g| g.0);
+        let indexes = facts.done.iter().copied().chain(gone).chain(facts.starts.iter().map(|p| p.index));
+        let numbers: BTreeSet<u32> = indexes.filter(|i| *i < parcels).map(|i| i / size).collect();
+        for n in numbers {
+            let chunk = job.chunks.entry(n).or_default();
+            if version <= chunk.rec.asof {
+                continue;
+            }
+            chunk.last = chunk.last.max(version);
+            let range = n * size..((n + 1) * size).min(parcels);
+            let mut left: Vec<Place> = Vec::new();
+            let rec = &mut chunk.rec;
+            for i in facts.done.range(range.clone()) {
+                if !in_ranges(&rec.done, *i) {
+                    add_to_ranges(&mut rec.done, *i);
+                    job.done += 1;
+                }
+                left.extend(take_place(rec, |p| p.index == *i));
+            }
+            for (i, attempt) in facts.gone.range((range.start, 0)..(range.end, 0)) {
+                left.extend(take_place(rec, |p| (p.index, p.attempt) == (*i, *attempt)));
+            }
+            for p in facts.starts.iter().filter(|p| range.contains(&p.index)) {
+                rec.tries = rec.tries.max(p.attempt);
+                let there = rec.on.iter().any(|q| q.index == p.index && q.attempt >= p.attempt);
+                if there || in_ranges(&rec.done, p.index) {
+                    continue;
+                }
+                left.extend(take_place(rec, |q| q.index == p.index));
+                rec.on.push(p.clone());
+                job.placed += 1;
+                place(&mut self.placed, &mut self.loads, &job.spec, p);
+            }
+            for p in left {
+                job.placed -= 1;
+                unplace(&mut self.placed, &mut self.loads, &job.spec, &p);
+            }
+        }
+        self.note_complete(uid);
+    }
+
+    fn note_complete(&mut self, uid: &str) {
+        if self.jobs.get(uid).is_some_and(Job::complete) {
+            self.complete.push(uid.to_string());
         }
-        job.chunks.insert(n, Versioned { rec, version });
     }
 
     fn drop_job(&mut self, uid: &str) {
         if let Some(job) = self.jobs.remove(uid) {
-            for chunk in job.chunks.values() {
-                unplace(&mut self.placed, &mut self.loads, &job.spec, &chunk.rec);
+            for p in job.chunks.values().flat_map(|c| &c.rec.on) {
+                unplace(&mut self.placed, &mut self.loads, &job.spec, p);
             }
         }
         self.orphans.retain(|(u, _), _| u != uid);
@@ -409,7 +585,7 @@
                 self.pack_changed(name, &old);
             }
             // Jobs are never deleted, and chunks only with their job's end.
-            Some(Key::Job(_) | Key::Chunk(..) | Key::Team(_) | Key::Packs | Key::Block(_)) | None => {}
+            Some(Key::Job(_) | Key::Chunk(..) | Key::Log(..) | Key::Team(_) | Key::Packs | Key::Block(_)) | None => {}
         }
     }
 
@@ -447,21 +623,32 @@
     }
 }
 
-fn unplace(
-    placed: &mut HashMap<String, Placements>,
-    loads: &mut HashMap<String, Load>,
-    spec: &JobSpec,
-    chunk: &ChunkRec,
-) {
-    for p in &chunk.on {
-        let Some(on) = placed.get_mut(&p.machine) else { continue };
-        let was = on.remove(&(spec.uid.clone(), p.index)).is_some();
-        if on.is_empty() {
-            placed.remove(&p.machine);
-            loads.remove(&p.machine);
-        } else if was && let Some(load) = loads.get_mut(&p.machine) {
-            load.remove(spec);
-        }
+/// Takes the place that `which` names out of a chunk, if it has it.
+fn take_place(rec: &mut ChunkRec, which: impl Fn(&Place) -> bool) -> Option<Place> {
+    let at = rec.on.iter().position(which)?;
+    Some(rec.on.swap_remove(at))
+}
+
+fn place(placed: &mut HashMap<String, Placements>, loads: &mut HashMap<String, Load>, spec: &JobSpec, p: &Place) {
+    let on = placed.entry(p.machine.clone()).or_default();
+    if on.insert((spec.uid.clone(), p.index), p.attempt).is_none() {
+        loads.entry(p.machine.clone()).or_default().add(spec);
+    }
+}
+
+/// Undoes `place`, unless another attempt of the task was put there since.
+fn unplace(placed: &mut HashMap<String, Placements>, loads: &mut HashMap<String, Load>, spec: &JobSpec, p: &Place) {
+    let Some(on) = placed.get_mut(&p.machine) else { return };
+    let key = (spec.uid.clone(), p.index);
+    if on.get(&key) != Some(&p.attempt) {
+        return;
+    }
+    on.remove(&key);
+    if on.is_empty() {
+        placed.remove(&p.machine);
+        loads.remove(&p.machine);
+    } else if let Some(load) = loads.get_mut(&p.machine) {
+        load.remove(spec);
     }
 }
 
@@ -557,7 +744,7 @@
         let states: [&[Place]; 4] =
             [&[at(0, "m"), at(1, "m"), at(2, "n")], &[at(1, "m")], &[at(1, "n"), at(3, "m")], &[]];
         for (i, on) in states.iter().enumerate() {
-            let chunk = ChunkRec { done: Vec::new(), on: on.to_vec(), tries: 1 };
+            let chunk = ChunkRec { on: on.to_vec(), tries: 1, ..ChunkRec::default() };
             v.put("fq/t/run-1/0", &to_value(&chunk), 2 + i as u64);
             for m in ["m", "n"] {
                 let placed = v.placed.get(m).map_or(0, |p| p.len());
@@ -567,4 +754,158 @@
             }
         }
     }
+
+    /// What a store holds, and the watch's whole past.
+    #[derive(Default)]
+    struct Ledger {
+        keys: BTreeMap<String, (Value, u64)>,
+        past: Vec<(String, Value, u64)>,
+    }
+
+    impl Ledger {
+        fn put(&mut self, key: String, data: Value) -> u64 {
+            let version = self.past.len() as u64 + 1;
+            self.keys.insert(key.clone(), (data.clone(), version));
+            self.past.push((key, data, version));
+            version
+        }
+
+        fn watch(&self, view: &mut View) {
+            for (key, data, version) in self.past.iter().skip(view.revision as usize) {
+                view.revision = version - 1;
+                view.put(key, data, *version);
+                view.revision = *version;
+            }
+        }
+    }
+
+    fn state(v: &View) -> Vec<String> {
+        let chunk = |(n, c): (&u32, &Chunk)| {
+            let mut on = c.rec.on.clone();
+            on.sort_by_key(|p| p.index);
+            format!("{n} {:?} {on:?} {}", c.rec.done, c.rec.tries)
+        };
+        let jobs = v.jobs.iter().map(|(uid, j)| {
+            let chunks: Vec<String> = j.chunks.iter().filter(|(_, c)| c.last > 0).map(chunk).collect();
+            format!("{uid} {} {} {chunks:?}", j.done, j.placed)
+        });
+        let mut placed: Vec<String> = v.placed.iter().map(|(m, p)| format!("{m} {p:?}")).collect();
+        placed.sort();
+        jobs.chain(placed).collect()
+    }
+
+    /// Two controllers write their logs, one of them ahead of its own watch, rings
+    /// go round, chunks are folded now and then: whoever loads at any point, while
+    /// writing goes on between the pages, and follows from there, has the state of
+    /// whoever followed from the beginning. A place that came back from an old
+    /// segment would be ordered to run a second time.
+    #[test]
+    fn a_load_gives_what_the_watch_gave() {
+        use rand::rngs::StdRng;
+        use rand::{RngExt, SeedableRng};
+        for seed in 0..12 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let mut ledger = Ledger::default();
+            let parcels = 40;
+            for uid in ["run-1", "run-2"] {
+                let mut spec = JobSpec::example(uid);
+                spec.parcels = parcels;
+                let rec = JobRec { spec: Some(spec), end: None, parcels, at_ms: 0, shares: Vec::new() };
+                ledger.put(job_key(uid), to_value(&rec));
+            }
+            let mut writers = [View::new(8), View::new(8)];
+            let mut seqs = [0u64; 2];
+            let mut watcher = View::new(8);
+            let mut loads: Vec<(View, Vec<(String, Value, u64)>)> = Vec::new();
+            for step in 0..1200 {
+                // One ring goes round while the other still has what was undone in it.
+                let w = usize::from(step % 5 != 0);
+                // The other one is watched now and then only.
+                if rng.random_bool(0.6) {
+                    ledger.watch(&mut writers[w]);
+                }
+                let uid = ["run-1", "run-2"][rng.random_range(0..2)];
+                let view = &mut writers[w];
+                let job = &view.jobs.get(uid);
+                let Some(job) = job else {
+                    ledger.watch(view);
+                    continue;
+                };
+                let mut f = Facts::default();
+                // Each starts its half of the indexes, and ends what its machines have.
+                let tries = job.chunks.values().map(|c| c.rec.tries).max().unwrap_or(0);
+                for _ in 0..3 {
+                    let i = rng.random_range(0..parcels / 2) + w as u32 * parcels / 2;
+                    let taken = f.starts.iter().any(|p| p.index == i);
+                    if !taken && !job.is_done(i, 8) && job.place(i, 8).is_none() {
+                        let machine = format!("m-{}{}", ["a", "b"][rng.random_range(0..2)], i % 3);
+                        f.starts.push(Place { index: i, machine, attempt: tries + 1 });
+                    }
+                }
+                let mine = |p: &&Place| p.machine.starts_with(["m-a", "m-b"][w]) && rng.random_bool(0.5);
+                let ends: Vec<Place> = job.chunks.values().flat_map(|c| &c.rec.on).filter(mine).cloned().collect();
+                for p in ends {
+                    if p.index % 7 == 0 && step > 900 {
+                        f.done.insert(p.index);
+                    } else {
+                        f.gone.insert((p.index, p.attempt));
+                    }
+                }
+                seqs[w] += 1;
+                let member = ["a", "b"][w];
+                // Before a slot is written over, what it says is folded.
+                let key = log_key(member, seqs[w]);
+                let old = view.logs.get(member).and_then(|l| l.slots.get(&(seqs[w] % segment::RING))).cloned();
+                if old.is_some() {
+                    ledger.watch(view);
+                }
+                for (uid, n) in old.iter().flat_map(|s| &s.touched) {
+                    let c = &view.jobs[uid].chunks[n];
+                    if c.rec.asof < old.as_ref().unwrap().version {
+                        assert!(c.last <= view.revision);
+                        let rec = ChunkRec { asof: view.revision, ..c.rec.clone() };
+                        ledger.put(chunk_key(uid, *n), to_value(&rec));
+                        ledger.watch(view);
+                    }
+                }
+                let rec = SegmentRec::of(seqs[w], &[(uid.to_string(), f)].into());
+                let data = to_value(&rec);
+                let version = ledger.put(key.clone(), data.clone());
+                view.put(&key, &data, version);
+                // A load reads a page, and the rest of it later.
+                if step % 50 == 13 {
+                    let all: Vec<(String, Value, u64)> =
+                        ledger.keys.iter().map(|(k, (d, v))| (k.clone(), d.clone(), *v)).collect();
+                    let mut v = View::loading(8, version);
+                    let half = all.len() / 2;
+                    all[..half].iter().for_each(|(k, d, n)| v.put(k, d, *n));
+                    let last = all[half - 1].0.clone();
+                    loads.push((v, vec![(last, Value::Null, 0)]));
+                }
+                if step % 50 == 20
+                    && let Some((v, rest)) = loads.last_mut()
+                    && let Some((after, ..)) = rest.pop()
+                {
+                    for (k, (d, n)) in ledger.keys.range((std::ops::Bound::Excluded(after), std::ops::Bound::Unbounded))
+                    {
+                        v.put(k, d, *n);
+                    }
+                    v.loaded();
+                }
+            }
+            ledger.watch(&mut watcher);
+            assert!(watcher.jobs["run-1"].done > 0 && !watcher.placed.is_empty());
+            for w in &mut writers {
+                ledger.watch(w);
+                assert_eq!(state(w), state(&watcher), "seed {seed}: a writer");
+            }
+            assert!(loads.len() > 10);
+            for (n, (v, rest)) in loads.iter_mut().enumerate() {
+                if rest.is_empty() {
+                    ledger.watch(v);
+                    assert_eq!(state(v), state(&watcher), "seed {seed}: load {n}");
+                }
+            }
+        }
+    }
 }
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -1,6 +1,7 @@
 //! The records kept in the state service, and their keys. Everything the
 //! program keeps lives under one prefix, so that one watch sees every change.
 
+use super::segment::RING;
 use crate::protocol::user::{JobSpec, Status};
 use ciborium::Value;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -34,8 +35,15 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TermRec {
     pub term: u64,
+    /// The form of all records; absent before the logs.
+    #[serde(default)]
+    pub form: u32,
 }
 
+/// The form of records that this program writes and reads, with those before it.
+/// State of a later form is not touched.
+pub const FORM: u32 = 1;
+
 /// Part of a job's tasks, leased to one controller to place.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Share {
@@ -72,7 +80,7 @@
     pub attempt: u64,
 }
 
-/// The state of a run of tasks of one job.
+/// The state of a run of tasks of one job: a checkpoint of what the logs say.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ChunkRec {
     /// Finished tasks, as inclusive ranges.
@@ -84,6 +92,14 @@
     /// The highest attempt number used.
     #[serde(default)]
     pub tries: u64,
+    /// It holds what all segments up to this revision say, and nothing of later
+    /// ones. Absent in records of versions before the logs: their own revision.
+    #[serde(default, skip_serializing_if = "none")]
+    pub asof: u64,
+}
+
+fn none(revision: &u64) -> bool {
+    *revision == 0
 }
 
 /// Like machines of the fleet and the controller whose block they belong to.
@@ -174,6 +190,11 @@
     format!("fq/j/{uid}")
 }
 
+/// The slot of a controller's log that a segment goes to.
+pub fn log_key(member: &str, seq: u64) -> String {
+    format!("fq/l/{member}/{}", seq % RING)
+}
+
 pub fn chunk_key(uid: &str, chunk: u32) -> String {
     format!("fq/t/{uid}/{chunk}")
 }
@@ -206,6 +227,8 @@
     Block(&'a str),
     Job(&'a str),
     Chunk(&'a str, u32),
+    /// A controller's log and a slot of it.
+    Log(&'a str, u64),
     Host(&'a str),
     Team(&'a str),
 }
@@ -224,6 +247,10 @@
         "j" => Some(Key::Job(rest)),
         "h" => Some(Key::Host(rest)),
         "q" => Some(Key::Team(rest)),
+        "l" => {
+            let (member, slot) = rest.rsplit_once('/')?;
+            Some(Key::Log(member, slot.parse().ok()?))
+        }
         "t" => {
             let (uid, chunk) = rest.rsplit_once('/')?;
             Some(Key::Chunk(uid, chunk.parse().ok()?))
@@ -328,6 +355,7 @@
             done: (0..size / 2).map(|i| (99_000 + i * 2, 99_000 + i * 2)).collect(),
             on: (0..size).map(|i| place(99_000 + i)).collect(),
             tries: 100_000,
+            asof: u64::MAX,
         };
         let bytes = crate::protocol::encode(&full).len();
         assert!(bytes <= 8 * 1024, "{bytes}");
--- a/src/controller/commit.rs
+++ b/src/controller/commit.rs
@@ -2,18 +2,21 @@
 //! answers. The one place that writes to the state service.
 
 use super::*;
+use crate::bookkeeping::segment::Facts;
 
 /// What a transaction was for.
 #[derive(Debug)]
 pub(super) enum Why {
     Accept(String),
     Withdraw(String),
-    /// Starts and exits of one job; the machines that got starts, and the
-    /// part of a limit that these took without changing the team's record.
-    Work {
-        starts: Vec<String>,
-        part: Option<(String, Amounts)>,
+    /// Starts and exits, and the parts of limits that starts took without
+    /// changing the teams' records.
+    Segment {
+        facts: BTreeMap<String, Facts>,
+        parts: Vec<(String, Amounts)>,
     },
+    /// Checkpoints.
+    Fold,
     Lead,
     Member,
     Enrol,
@@ -34,8 +37,8 @@
         match self {
             Why::Accept(_) => "accept",
             Why::Withdraw(_) => "withdraw",
-            Why::Work { starts, .. } if starts.is_empty() => "exits",
-            Why::Work { .. } => "starts",
+            Why::Segment { .. } => "segment",
+            Why::Fold => "fold",
             Why::Lead => "lead",
             Why::Member => "member",
             Why::Enrol => "enrol",
@@ -112,13 +115,17 @@
 
     /// Sends a transaction that keeps `keys` busy until it is answered.
     pub(super) fn send_txn(&mut self, txn: Txn, why: Why, keys: Vec<String>) {
+        self.send_txn_within(txn, why, keys, self.report_s(1.0));
+    }
+
+    /// The same, given up after `timeout`.
+    pub(super) fn send_txn_within(&mut self, txn: Txn, why: Why, keys: Vec<String>, timeout: Duration) {
         self.writes.spend(self.now, txn.ops.len() as f64);
         let written = self.written.entry(why.name()).or_default();
         written.sent += 1;
         written.changes += txn.ops.len();
         self.busy.extend(keys.iter().cloned());
         let body = crate::protocol::encode(&txn);
-        let timeout = self.report_s(1.0);
         self.call(
             Target::State,
             "POST",
@@ -160,22 +167,12 @@
                 self.accept_answer(&uid, done.is_some(), status, beaten);
             }
             Why::Withdraw(uid) => self.withdraw_answer(&uid, done.is_some(), status),
-            Why::Work { starts, part } => {
+            Why::Segment { facts, parts } => self.segment_answer(&txn, facts, parts, &result),
+            Why::Fold => {
+                self.folding = false;
                 self.dirty = true;
-                if let Some((team, amounts)) = part {
-                    let carried_out = result.as_ref().ok().map(|r| r.status == 200);
-                    self.parts.entry(team).or_default().answered(amounts, carried_out, self.now);
-                }
-                if let Ok(r) = result.as_ref()
-                    && r.status == 409
-                    && let (Some(revision), Some(c)) = (ledger(r), txn.conds.first())
-                {
-                    self.outdated.insert(c.key.clone(), revision);
-                }
-                if done.is_some() {
-                    for m in starts {
-                        self.push(&m);
-                    }
+                if status == 409 {
+                    self.note_outdated(&txn, &result);
                 }
             }
             Why::Lead if done.is_some() => {
@@ -185,6 +182,9 @@
                 self.list_at = None;
                 tracing::info!(term, member = %self.me, "took the lead");
             }
+            Why::Close if status == 409 => {
+                self.note_outdated(&txn, &result);
+            }
             Why::Enrol => self.enrol_rentals(),
             _ => {}
         }
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -56,7 +56,11 @@
             ],
             ops: vec![
                 Op::Put { key: records::LEAD_KEY.into(), data: records::to_value(&rec), lease: Some(lease) },
-                Op::Put { key: records::TERM_KEY.into(), data: records::to_value(&TermRec { term }), lease: None },
+                Op::Put {
+                    key: records::TERM_KEY.into(),
+                    data: records::to_value(&TermRec { term, form: records::FORM }),
+                    lease: None,
+                },
             ],
         };
         self.txn(txn, Why::Lead);
--- a/src/controller/leasing.rs
+++ b/src/controller/leasing.rs
@@ -11,36 +11,42 @@
 use crate::protocol::user::{Form, JobSpec, Status};
 
 impl Controller {
-    /// Ends the records of jobs whose last task is done or gone.
+    /// Whether it is ours to end the job: one controller does, so that they do not
+    /// refuse each other.
+    pub(super) fn ends(&self, uid: &str) -> bool {
+        let Some(j) = self.view.jobs.get(uid) else { return false };
+        let first = j.rec.rec.shares.first().map(|s| &s.member);
+        match first.filter(|m| self.view.members.contains_key(*m)) {
+            Some(m) => *m == self.me,
+            None => self.am_leader(),
+        }
+    }
+
+    /// Jobs that nobody ended whose duty it was: its holder is gone.
     pub(super) fn close_jobs(&mut self) {
-        let mut txns = Vec::new();
-        for (uid, j) in &self.view.jobs {
-            let status = if j.withdrawn() && j.placed == 0 {
-                Status::Withdrawn
-            } else if !j.withdrawn() && j.done >= j.spec.parcels {
-                Status::Done
-            } else {
-                continue;
-            };
-            let key = records::job_key(uid);
-            if self.busy.contains(&key) {
+        let complete = self.view.jobs.iter().filter(|(_, j)| j.complete());
+        let ours: Vec<String> = complete.map(|(uid, _)| uid.clone()).filter(|uid| self.ends(uid)).collect();
+        self.ending.extend(ours);
+    }
+
+    /// Ends the records of jobs whose last task is done or gone.
+    pub(super) fn close_tick(&mut self) {
+        for uid in std::mem::take(&mut self.ending) {
+            let key = records::job_key(&uid);
+            let Some(j) = self.view.jobs.get(&uid).filter(|j| j.complete()) else { continue };
+            if self.busy.contains(&key) || self.outdated.contains_key(&key) || !self.may_write(1.0) {
+                self.ending.insert(uid);
                 continue;
             }
-            let keys: Vec<String> = j.chunks.keys().map(|n| records::chunk_key(uid, *n)).collect();
+            let status = if j.withdrawn() { Status::Withdrawn } else { Status::Done };
             let mut txn = Txn {
                 conds: vec![Cond { key, entry_no: j.rec.version }],
-                ops: vec![end_op(uid, status, j.spec.parcels)],
+                ops: vec![end_op(&uid, status, j.spec.parcels)],
             };
-            for (c, k) in j.chunks.values().zip(&keys).take(self.set.settings.state.txn_ops - 1) {
-                txn.conds.push(Cond { key: k.clone(), entry_no: c.version });
-                txn.ops.push(Op::Delete { key: k.clone() });
-            }
-            txns.push(txn);
-        }
-        for txn in txns {
-            if self.may_write(txn.ops.len() as f64) {
-                self.txn(txn, Why::Close);
-            }
+            let stored = j.chunks.iter().filter(|(_, c)| c.version > 0);
+            let most = self.set.settings.state.txn_ops - 1;
+            txn.ops.extend(stored.map(|(n, _)| Op::Delete { key: records::chunk_key(&uid, *n) }).take(most));
+            self.txn(txn, Why::Close);
         }
     }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -13,6 +13,7 @@
 mod quota;
 mod requests;
 mod rooms;
+mod segments;
 mod start;
 mod sync;
 mod work;
@@ -20,6 +21,7 @@
 use crate::bookkeeping::aims::Aims;
 use crate::bookkeeping::records::{self, Versioned};
 use crate::bookkeeping::{Amounts, Images, View};
+use crate::coordination::log::Writer;
 use crate::coordination::machine::Machine;
 use crate::coordination::parts::Parts;
 use crate::coordination::session::Session;
@@ -223,8 +225,13 @@
     beats: usize,
     changes: BTreeMap<String, Change>,
     busy: BTreeSet<String>,
-    /// Records of jobs whose write was refused as outdated: it would be again
-    /// until the view has come to this revision.
+    log: Writer,
+    /// Checkpoints are under way.
+    folding: bool,
+    /// Jobs that are complete, and that we have to end.
+    ending: BTreeSet<String>,
+    /// Records that a refused write had outdated: it would be refused again until
+    /// the view has come to this revision.
     outdated: BTreeMap<String, u64>,
     /// What was taken of each team's limit without changing its record.
     parts: BTreeMap<String, Parts>,
@@ -352,6 +359,9 @@
             beats: 0,
             changes: BTreeMap::new(),
             busy: BTreeSet::new(),
+            log: Writer::default(),
+            folding: false,
+            ending: BTreeSet::new(),
             outdated: BTreeMap::new(),
             parts: BTreeMap::new(),
             patience: HashMap::new(),
@@ -466,6 +476,7 @@
             self.work_tick();
             self.note_overdue();
         }
+        self.close_tick();
         self.lead_tick();
         if self.now >= self.summary_next {
             self.summary_next = self.now + self.report_s(4.0);
@@ -643,6 +654,11 @@
             let boot = self.types.iter().map(|t| t.startup_s).fold(f64::INFINITY, f64::min);
             self.fleet_cold = self.now.as_secs_f64() > boot / 2.0;
         }
+        for uid in std::mem::take(&mut self.view.complete) {
+            if self.ends(&uid) {
+                self.ending.insert(uid);
+            }
+        }
         for (spec, at_ms) in std::mem::take(&mut self.view.finished) {
             if self.am_leader() {
                 let took_s = self.wall_ms().saturating_sub(at_ms) as f64 / 1000.0;
--- /dev/null
+++ b/src/controller/segments.rs
@@ -0,0 +1,414 @@
+//! This controller's log: the exits it saw and the starts it planned go into its
+//! next segment, over all jobs and machines; checkpoints of chunks free the slots
+//! for later ones. A start is ordered only once its segment is in the store.
+
+use super::quota::{FAR_FROM_LIMIT, limited};
+use super::*;
+use crate::bookkeeping::Job;
+use crate::bookkeeping::records::{ChunkRec, Place};
+use crate::bookkeeping::segment::{Facts, RING, SegmentRec, bytes};
+use crate::coordination::log::{Draft, Limits, Need};
+use crate::coordination::parts::Limit;
+use crate::placement::Start;
+use crate::protocol::encode;
+use crate::protocol::store::{Cond, Op};
+use crate::protocol::user::Form;
+
+/// Facts that can wait go this often, in report intervals.
+const PACE_REPORTS: f64 = 1.0 / 16.0;
+/// A segment's answer is waited for so long, in report intervals; what comes later
+/// is void, or else the next one is.
+const ANSWER_REPORTS: f64 = 0.25;
+/// Bytes of one transaction that may go to checkpoints, as a share of the limit.
+const FOLD_SHARE: f64 = 0.75;
+/// Slots are freed ahead of need once they are so old, as a share of the ring.
+const AHEAD: f64 = 0.5;
+/// Checkpoints that are written ahead in one transaction.
+const FOLDS_AHEAD: usize = 8;
+
+/// A checkpoint to be written: its condition, its put and its size.
+type Fold = (Cond, Op, usize);
+
+/// Something has to be seen or answered first.
+struct NotYet;
+
+/// What a team's starts in one segment take of its limit, and how.
+struct Taken {
+    amounts: Amounts,
+    /// The team's record changes with them.
+    strict: Option<records::TeamRec>,
+}
+
+impl Controller {
+    fn log_slot(&self) -> (u64, String, u64) {
+        let log = self.view.logs.get(&self.me);
+        let seq = log.map_or(0, |l| l.seq) + 1;
+        let version = log.and_then(|l| l.slots.get(&(seq % RING))).map_or(0, |s| s.version);
+        (seq, records::log_key(&self.me, seq), version)
+    }
+
+    /// Whether a segment may be put together now.
+    pub(super) fn log_ready(&self) -> bool {
+        !self.log.busy && !self.outdated.contains_key(&self.log_slot().1)
+    }
+
+    /// Puts the next segment together and sends it. `order` are the jobs with
+    /// something to write down, what matters most first.
+    pub(super) fn write_segment(&mut self, order: &[String], mut starts: BTreeMap<String, Vec<Start>>) {
+        let st = self.set.settings.state.clone();
+        let (seq, key, version) = self.log_slot();
+        let Ok(mut folds) = self.folds_of_slot(seq) else {
+            self.dirty = true;
+            return;
+        };
+        let room = st.txn_ops.saturating_sub(2).max(1);
+        let heavy = folds.iter().map(|f| f.2).sum::<usize>() > (64.0 * 1024.0 * FOLD_SHARE) as usize - 8 * 1024;
+        if folds.len() > room || heavy {
+            folds.truncate(room.min(FOLDS_AHEAD));
+            return self.send_folds(folds);
+        }
+        let value = (st.value_kb * 1024.0) as usize;
+        let conds = (st.txn_ops * 4).saturating_sub(folds.len() + 1);
+        let mut draft = Draft::new(Limits { conds, bytes: value });
+        let mut taken: BTreeMap<String, Taken> = BTreeMap::new();
+        let mut near = None;
+        for uid in order {
+            let starts = starts.remove(uid).unwrap_or_default();
+            let full = !self.draft_exits(&mut draft, uid)
+                || !self.draft_starts(&mut draft, uid, &starts, &mut taken, &mut near);
+            if full {
+                self.dirty = true;
+                break;
+            }
+        }
+        if draft.is_empty() {
+            if let Some((key, version)) = near {
+                self.near_limit(key, version);
+            }
+            return;
+        }
+        let mut txn = Txn { conds: draft.conditions().collect(), ops: Vec::new() };
+        txn.conds.push(Cond { key: key.clone(), entry_no: version });
+        let data = records::to_value(&SegmentRec::of(seq, &draft.facts));
+        txn.ops.push(Op::Put { key: key.clone(), data, lease: None });
+        let mut keys = vec![key];
+        keys.extend(draft.conds.keys().filter(|k| k.starts_with("fq/j/")).cloned());
+        let mut parts = Vec::new();
+        for (team, t) in taken {
+            match t.strict {
+                Some(rec) => {
+                    let key = records::team_key(&team);
+                    txn.ops.push(Op::Put { key: key.clone(), data: records::to_value(&rec), lease: None });
+                    keys.push(key);
+                }
+                None => {
+                    self.parts.entry(team.clone()).or_default().sent(t.amounts);
+                    parts.push((team, t.amounts));
+                }
+            }
+        }
+        for (cond, op, _) in folds {
+            keys.push(cond.key.clone());
+            txn.conds.push(cond);
+            txn.ops.push(op);
+        }
+        self.log.sent(self.now, self.report_s(PACE_REPORTS));
+        let timeout = self.report_s(ANSWER_REPORTS);
+        self.send_txn_within(txn, Why::Segment { facts: draft.facts, parts }, keys, timeout);
+    }
+
+    /// Whether the machine is ours by a grant that the view has reached, and that
+    /// no refusal has put in doubt: then what conditions writes about it need.
+    fn grant_conds(&self, machine: &str) -> Option<Vec<(String, u64)>> {
+        let h = self.view.hosts.get(machine).filter(|h| self.owns(h) && h.rec.granted <= self.view.revision)?;
+        let pack = records::pack_key(&h.rec.pack);
+        // What an earlier incarnation sent late must not take back a place that
+        // its successor relies on.
+        let block = self.block_cond();
+        let known = |key: &str| !self.outdated.contains_key(key);
+        (known(&pack) && known(&block.key)).then(|| vec![(pack, h.version), (block.key, block.entry_no)])
+    }
+
+    /// Takes the job's exits into the draft; false if it is full.
+    fn draft_exits(&mut self, draft: &mut Draft, uid: &str) -> bool {
+        let Some(mut change) = self.changes.remove(uid) else { return true };
+        let Some(job) = self.view.jobs.get(uid) else { return true };
+        let size = self.view.chunk_size;
+        let mut full = false;
+        let done = Need { bytes: bytes::DONE, ..Need::default() };
+        change.done.retain(|index| {
+            if full || job.is_done(*index, size) || job.withdrawn() {
+                return full;
+            }
+            full = !draft.take(uid, &[&done]);
+            if !full && let Some(f) = draft.facts.get_mut(uid) {
+                f.done.insert(*index);
+            }
+            full
+        });
+        change.clear.retain(|(index, attempt)| {
+            // What is not ours to say, or known, is dropped; it is seen again.
+            let place = job.place(*index, size).filter(|p| p.attempt == *attempt);
+            let Some(conds) = place.and_then(|p| self.grant_conds(&p.machine)).filter(|_| !full) else { return full };
+            full = !draft.take(uid, &[&Need { conds, machine: None, bytes: bytes::GONE }]);
+            if !full && let Some(f) = draft.facts.get_mut(uid) {
+                f.gone.insert((*index, *attempt));
+            }
+            full
+        });
+        if full {
+            self.changes.insert(uid.to_string(), change);
+        }
+        !full
+    }
+
+    /// Takes the job's starts into the draft; false if it is full.
+    fn draft_starts(
+        &mut self,
+        draft: &mut Draft,
+        uid: &str,
+        starts: &[Start],
+        taken: &mut BTreeMap<String, Taken>,
+        near: &mut Option<(String, u64)>,
+    ) -> bool {
+        let Some(job) = self.view.jobs.get(uid).filter(|j| !j.withdrawn() && !starts.is_empty()) else { return true };
+        let key = records::job_key(uid);
+        // Whoever could start its tasks before us did so before the job's record
+        // was what it is: the view has to have come that far.
+        let known = job.rec.version <= self.view.revision;
+        if !known || self.busy.contains(&key) || self.outdated.contains_key(&key) {
+            return true;
+        }
+        let size = self.view.chunk_size;
+        let tries = job.chunks.values().map(|c| c.rec.tries).max().unwrap_or(0);
+        // A gang that lost a task before it started is completed under the
+        // same attempt: its tasks find each other by that.
+        let gang = job.spec.form == Form::Ensemble;
+        let attempt = if gang && job.placed > 0 { tries } else { tries + 1 };
+        let mut wanted: Vec<(Place, Need)> = Vec::new();
+        for s in starts {
+            let free = !job.is_done(s.index, size) && job.place(s.index, size).is_none();
+            let Some(mut conds) = self.grant_conds(&s.machine).filter(|_| free) else {
+                if gang {
+                    return true; // all or nothing
+                }
+                continue;
+            };
+            conds.push((key.clone(), job.rec.version));
+            let place = Place { index: s.index, machine: s.machine.clone(), attempt };
+            wanted.push((place, Need { conds, machine: Some(s.machine.clone()), bytes: bytes::START }));
+        }
+        let spec = job.spec.clone();
+        let Some(quota) = self.quota(&spec, wanted.len(), taken, near) else { return true };
+        if let Some((_, cond, _)) = &quota {
+            wanted.iter_mut().for_each(|(_, n)| n.conds.push(cond.clone()));
+        }
+        if gang {
+            let all: Vec<&Need> = wanted.iter().map(|w| &w.1).collect();
+            if !draft.take(uid, &all) {
+                return draft.is_empty(); // of a gang too large for any segment the rest goes without
+            }
+        }
+        let mut started = 0;
+        let mut full = false;
+        for (place, need) in wanted {
+            if !gang && !draft.take(uid, &[&need]) {
+                full = true;
+                break;
+            }
+            tracing::debug!(job = %uid, index = place.index, machine = %place.machine, attempt, "start");
+            started += 1;
+            if let Some(f) = draft.facts.get_mut(uid) {
+                f.starts.push(place);
+            }
+        }
+        if let Some((team, _, strict)) = quota.filter(|_| started > 0) {
+            let t = taken.entry(team).or_insert(Taken { amounts: Amounts::default(), strict });
+            t.amounts.plus(Amounts::of(&spec, f64::from(started)), 1.0);
+        }
+        !full
+    }
+
+    /// How the starts of so many tasks go with their team's limit: nothing to be
+    /// done, a condition on its record, or a change of it; none if they have to
+    /// wait.
+    #[allow(clippy::type_complexity)]
+    fn quota(
+        &mut self,
+        spec: &crate::protocol::user::JobSpec,
+        tasks: usize,
+        taken: &BTreeMap<String, Taken>,
+        near: &mut Option<(String, u64)>,
+    ) -> Option<Option<(String, (String, u64), Option<records::TeamRec>)>> {
+        let Some(team) = self.set.settings.teams.iter().find(|t| t.name == spec.desk && limited(t)) else {
+            return Some(None);
+        };
+        let key = records::team_key(&team.name);
+        if self.outdated.contains_key(&key) {
+            return None;
+        }
+        let (cpus, gpus) = self.used(team);
+        let before = taken.get(&team.name).map(|t| t.amounts).unwrap_or_default();
+        let mut need = Amounts::of(spec, tasks as f64);
+        need.plus(before, 1.0);
+        let (n, age) = (self.set.controllers(), self.report_s(1.0));
+        let name = team.name.clone();
+        let rec = self.view.teams.get(&name);
+        let (strict, version) = rec.map_or((false, 0), |r| (r.rec.strict, r.version));
+        let parts = self.parts.entry(name.clone()).or_default();
+        let allowed = parts.allow(need, cpus, gpus, n, self.now, age);
+        if !allowed && !strict {
+            // Nothing is started until all see that starts exclude each other now.
+            if !taken.contains_key(&name) {
+                *near = Some((key, version));
+            }
+            return None;
+        }
+        if !strict {
+            return Some(Some((name, (key, version), None)));
+        }
+        // The view must show what was started before the record was.
+        if self.busy.contains(&key) || self.view.revision < version {
+            return None;
+        }
+        let far = |l: Limit| l.max <= 0.0 || l.used <= l.max * FAR_FROM_LIMIT;
+        let rec = records::TeamRec { strict: !(far(cpus) && far(gpus)), count: self.next_call };
+        Some(Some((name, (key, version), Some(rec))))
+    }
+
+    /// The checkpoint that a chunk needs before the segment of `slot_version` may
+    /// be written over, if it needs one. It holds all that the ledger has up to
+    /// the view's revision, so nothing of ours may be ahead of that in it.
+    fn fold(&self, uid: &str, n: u32, slot_version: u64) -> Result<Option<Fold>, NotYet> {
+        let chunk = self.view.jobs.get(uid).and_then(|j: &Job| j.chunks.get(&n));
+        let Some(chunk) = chunk.filter(|c| c.rec.asof < slot_version) else { return Ok(None) };
+        let key = records::chunk_key(uid, n);
+        if chunk.last > self.view.revision || self.busy.contains(&key) || self.outdated.contains_key(&key) {
+            return Err(NotYet);
+        }
+        let rec = ChunkRec { asof: self.view.revision, ..chunk.rec.clone() };
+        let size = encode(&rec).len();
+        let data = records::to_value(&rec);
+        let cond = Cond { key: key.clone(), entry_no: chunk.version };
+        Ok(Some((cond, Op::Put { key, data, lease: None }, size)))
+    }
+
+    /// All that has to be in checkpoints before segment `seq` takes its slot.
+    fn folds_of_slot(&self, seq: u64) -> Result<Vec<Fold>, NotYet> {
+        let slot = self.view.logs.get(&self.me).and_then(|l| l.slots.get(&(seq % RING)));
+        let Some(slot) = slot else { return Ok(Vec::new()) };
+        let mut folds = Vec::new();
+        for (uid, n) in &slot.touched {
+            folds.extend(self.fold(uid, *n, slot.version)?);
+        }
+        Ok(folds)
+    }
+
+    /// Frees slots ahead of need while there are writes to spare.
+    pub(super) fn fold_tick(&mut self) {
+        let spare = self.writes.level(self.now) - self.writes.rate * SPARE_WRITES;
+        if self.folding || spare < 1.0 || !self.may_write(1.0) {
+            return;
+        }
+        let Some(log) = self.view.logs.get(&self.me) else { return };
+        let most = FOLDS_AHEAD.min(spare as usize).min(self.set.settings.state.txn_ops);
+        let oldest = (log.seq + 1).saturating_sub(RING);
+        let newest = log.seq.saturating_sub((RING as f64 * AHEAD) as u64);
+        let mut folds: Vec<Fold> = Vec::new();
+        let mut seen = BTreeSet::new();
+        for slot in (oldest..newest).filter_map(|seq| log.slots.get(&(seq % RING)).filter(|s| s.seq == seq)) {
+            for (uid, n) in &slot.touched {
+                if folds.len() < most
+                    && seen.insert((uid, *n))
+                    && let Ok(Some(fold)) = self.fold(uid, *n, slot.version)
+                {
+                    folds.push(fold);
+                }
+            }
+        }
+        if !folds.is_empty() {
+            self.send_folds(folds);
+        }
+    }
+
+    fn send_folds(&mut self, folds: Vec<Fold>) {
+        if self.folding {
+            return;
+        }
+        self.folding = true;
+        let mut txn = Txn::default();
+        for (cond, op, _) in folds {
+            txn.conds.push(cond);
+            txn.ops.push(op);
+        }
+        let keys = txn.conds.iter().map(|c| c.key.clone()).collect();
+        self.send_txn(txn, Why::Fold, keys);
+    }
+
+    /// The segment was answered, or not.
+    pub(super) fn segment_answer(
+        &mut self,
+        txn: &Txn,
+        facts: BTreeMap<String, Facts>,
+        parts: Vec<(String, Amounts)>,
+        result: &Result<Reply, NoAnswer>,
+    ) {
+        self.log.busy = false;
+        self.dirty = true;
+        let now = self.now;
+        let status = result.as_ref().map_or(0, |r| r.status);
+        let carried_out = status == 200;
+        if result.is_err() {
+            // Not known, until the slot is written.
+            self.log.doubt.extend(parts);
+        } else {
+            for (team, amounts) in parts {
+                self.parts.entry(team).or_default().answered(amounts, Some(carried_out), now);
+            }
+        }
+        let slot_lost = status == 409 && self.note_outdated(txn, result);
+        if carried_out || slot_lost {
+            // Ours took the slot, and voids what was in doubt; or that did.
+            for (team, amounts) in std::mem::take(&mut self.log.doubt) {
+                self.parts.entry(team).or_default().answered(amounts, Some(slot_lost), now);
+            }
+        }
+        if carried_out {
+            let machines: BTreeSet<String> =
+                facts.values().flat_map(|f| &f.starts).map(|p| p.machine.clone()).collect();
+            for m in machines {
+                self.push(&m);
+            }
+            return;
+        }
+        for (uid, f) in facts {
+            if self.view.jobs.contains_key(&uid) {
+                let change = self.changes.entry(uid).or_insert_with(|| Change::new(now));
+                change.done.extend(f.done);
+                change.clear.extend(f.gone);
+            }
+        }
+    }
+
+    /// Remembers which records had changed, until the view shows it; whether the
+    /// log's slot was one of them.
+    pub(super) fn note_outdated(&mut self, txn: &Txn, result: &Result<Reply, NoAnswer>) -> bool {
+        let Some(ledger) = result.as_ref().ok().and_then(|r| crate::protocol::decode::<store::Ledger>(&r.body).ok())
+        else {
+            return false;
+        };
+        let mut failed = ledger.failed;
+        if failed.is_empty() {
+            failed.extend(txn.conds.iter().map(|c| c.key.clone()));
+        }
+        let mut slot = false;
+        for key in failed {
+            slot |= key.starts_with(LOG);
+            self.outdated.insert(key, ledger.ledger_no);
+        }
+        slot
+    }
+}
+
+/// Where the logs lie.
+const LOG: &str = "fq/l/";
--- a/src/controller/sync.rs
+++ b/src/controller/sync.rs
@@ -172,7 +172,7 @@
 
     fn scanned(&mut self, rows: Rows) {
         if self.ses.scan_revision.is_none() {
-            self.scan = View::new(self.view.chunk_size);
+            self.scan = View::loading(self.view.chunk_size, rows.ledger_no);
             self.ses.scan_revision = Some(rows.ledger_no);
         }
         for row in &rows.rows {
@@ -186,7 +186,16 @@
         }
         // Changes during the paging come again from the watch.
         let mut view = std::mem::take(&mut self.scan);
-        view.revision = self.ses.scan_revision.unwrap_or(0);
+        view.loaded();
+        if view.form > records::FORM {
+            tracing::error!(
+                form = view.form,
+                known = records::FORM,
+                "the stored state is of a later form than this program knows; nothing is started"
+            );
+            self.ses.restart_load(self.now + self.secs(self.set.settings.workers.lease_s));
+            return;
+        }
         self.view = view;
         self.adopted = None;
         self.ses.load = Load::Following;
@@ -206,6 +215,8 @@
             return;
         }
         for n in &f.news {
+            // All before this change is in the view by now.
+            self.view.revision = self.view.revision.max(n.entry_no.saturating_sub(1));
             if let (Some(key), Some(data)) = (&n.put, &n.data) {
                 self.view.put(key, data, n.entry_no);
             }
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -1,13 +1,12 @@
-//! Jobs leased to this controller: placing their waiting tasks, and writing
-//! down starts and exits. A start is sent only once its place is in the store.
+//! Jobs leased to this controller: placing their waiting tasks, making room for
+//! those that must start soon, and what is written down first.
 
-use super::quota::{FAR_FROM_LIMIT, affordable, limited};
+use super::quota::{affordable, limited};
 use super::*;
 use crate::bookkeeping::Job;
-use crate::bookkeeping::records::{ChunkRec, Place, add_to_ranges, count_ranges, in_ranges};
-use crate::coordination::parts::Limit;
+use crate::bookkeeping::records::Place;
 use crate::placement::{Room, Rules, Start, Victim, Waiting, plan, preempt, zone_room};
-use crate::protocol::store::{Cond, Op};
+use crate::protocol::store::Op;
 use crate::protocol::user::{Form, Status};
 
 /// Estimates are often wrong by half: a job counts as late once its aim would
@@ -16,8 +15,6 @@
 /// Tasks wait for this part of the places that should come free where their
 /// image is before it could be fetched elsewhere.
 const STAYS: f64 = 0.5;
-/// Bytes of one transaction that may go to chunk records, as a share of the limit.
-const CHUNK_SHARE: f64 = 0.75;
 
 impl Controller {
     pub(super) fn work_tick(&mut self) {
@@ -26,6 +23,7 @@
         }
         let view = &self.view;
         self.patience.retain(|uid, _| view.jobs.contains_key(uid));
+        self.fold_tick();
     }
 
     /// Writes exits down and starts what fits.
@@ -36,6 +34,11 @@
         self.adopt();
         let revision = self.view.revision;
         self.outdated.retain(|_, need| *need > revision);
+        let due = self.log.due(self.now);
+        if !self.log_ready() || !due && !self.starts_soon() {
+            self.dirty = true;
+            return;
+        }
         let starts = if self.fresh() { self.plan_starts() } else { Vec::new() };
         // Machines that are not heard yet may have the room that is missed.
         if self.fresh() && self.start.fleet_known() {
@@ -45,25 +48,38 @@
         for s in starts {
             by_job.entry(s.uid.clone()).or_default().push(s);
         }
-        for (uid, need) in self.write_order(&by_job) {
-            if self.may_write(need) {
-                let starts = by_job.remove(&uid).unwrap_or_default();
-                self.write_job(&uid, &starts);
-            }
+        let (order, urgent) = self.write_order(&by_job);
+        // Starts of services may borrow from what waits, as submissions do; the
+        // rest goes along with them.
+        let need = if urgent { -self.writes.rate * SPARE_WRITES } else { 1.0 + self.writes.rate * ACCEPT_RESERVE };
+        if order.is_empty() {
+            return;
+        }
+        if !due && !urgent || !self.may_write(need) {
+            self.dirty = true; // what can wait gathers
+            return;
         }
+        self.write_segment(&order, by_job);
     }
 
-    /// Jobs with something to write down, what matters most first, and what
-    /// must be free of the write limit for each. Exits alone lose nothing by
-    /// waiting, since workers report them until they are stored; the last ones
-    /// of a job are waited for by its user.
-    fn write_order(&self, by_job: &BTreeMap<String, Vec<Start>>) -> Vec<(String, f64)> {
-        let (reserve, spare) = (self.writes.rate * ACCEPT_RESERVE, self.writes.rate * SPARE_WRITES);
+    /// Whether tasks wait here that must start soon.
+    fn starts_soon(&self) -> bool {
+        let here = |j: &Job| j.rec.rec.shares.iter().any(|s| s.member == self.me);
+        let soon = |j: &&Job| j.waiting_count() > 0 && here(j) && self.aims.start_within(&j.spec).is_some();
+        self.view.jobs.values().any(|j| soon(&j))
+    }
+
+    /// Jobs with something to write down, what matters most first, and whether
+    /// any of it must start soon. Exits alone lose little by waiting, since workers
+    /// report them until they are stored; the last ones of a job are waited for
+    /// by its user.
+    fn write_order(&self, by_job: &BTreeMap<String, Vec<Start>>) -> (Vec<String>, bool) {
         let uids: BTreeSet<&String> = by_job.keys().chain(self.changes.keys()).collect();
-        let mut order: Vec<(u8, f64, &String, f64)> = Vec::new();
+        let mut order: Vec<(u8, f64, &String)> = Vec::new();
+        let mut urgent = false;
         for uid in uids {
             let Some(job) = self.view.jobs.get(uid) else {
-                order.push((0, 0.0, uid, 0.0)); // over: its changes are dropped
+                order.push((0, 0.0, uid)); // over: its changes are dropped
                 continue;
             };
             let starts = by_job.get(uid).map_or(0, Vec::len);
@@ -75,19 +91,18 @@
             let waited = waited.max(self.now.saturating_sub(since));
             let size = (starts + exits + gone) as f64;
             let weight = size * (waited + self.report_s(1.0)).as_secs_f64();
-            let soon = self.aims.start_within(&job.spec).is_some();
+            let soon = starts > 0 && self.aims.start_within(&job.spec).is_some();
             let last = job.withdrawn() || change.is_some_and(|c| self.ends_part(job, c));
-            let (rank, need) = match () {
-                // As submissions, these may borrow from what waits.
-                _ if soon && starts > 0 => (1, -spare),
-                _ if last => (2, 1.0),
-                _ if starts + gone > 0 => (3, 2.0 + reserve),
-                _ => (3, 1.0 + spare),
+            urgent |= soon;
+            let rank = match () {
+                _ if soon => 1,
+                _ if last => 2,
+                _ => 3,
             };
-            order.push((rank, -weight, uid, need));
+            order.push((rank, -weight, uid));
         }
         order.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
-        order.into_iter().map(|(_, _, uid, need)| (uid.clone(), need)).collect()
+        (order.into_iter().map(|o| o.2.clone()).collect(), urgent)
     }
 
     /// Whether nothing of the job is left on this controller's machines, nor
@@ -101,165 +116,6 @@
             })
     }
 
-    /// One transaction for one job: exits seen and starts planned.
-    fn write_job(&mut self, uid: &str, starts: &[Start]) {
-        let Some(job) = self.view.jobs.get(uid) else {
-            self.changes.remove(uid);
-            return;
-        };
-        let key = records::job_key(uid);
-        if self.busy.contains(&key) || self.outdated.contains_key(&key) {
-            return;
-        }
-        let size = self.view.chunk_size;
-        let change = self.changes.remove(uid).unwrap_or_default();
-        let mut machines: BTreeSet<String> = BTreeSet::new();
-        let mut chunks: BTreeMap<u32, ChunkRec> = BTreeMap::new();
-        let mine =
-            |m: &str| self.view.hosts.get(m).is_some_and(|h| self.owns(h) && h.rec.granted <= self.view.revision);
-        for index in &change.done {
-            if job.is_done(*index, size) || job.withdrawn() {
-                continue;
-            }
-            let rec = draft(&mut chunks, job, index / size);
-            add_to_ranges(&mut rec.done, *index);
-            rec.on.retain(|p| p.index != *index);
-        }
-        for (index, attempt) in &change.clear {
-            if machines.len() >= self.set.settings.state.txn_ops * 2 {
-                break; // the rest is seen again in the next report
-            }
-            let Some(p) = job.place(*index, size).filter(|p| p.attempt == *attempt && mine(&p.machine)) else {
-                continue;
-            };
-            machines.insert(p.machine.clone());
-            let rec = draft(&mut chunks, job, index / size);
-            rec.on.retain(|p| (p.index, p.attempt) != (*index, *attempt));
-        }
-        let tries = job.chunks.values().map(|c| c.rec.tries).max().unwrap_or(0);
-        // A gang that lost a task before it started is completed under the
-        // same attempt: its tasks find each other by that.
-        let completes = job.spec.form == Form::Ensemble && job.placed > 0;
-        let attempt = if completes { tries } else { tries + 1 };
-        let mut started = BTreeSet::new();
-        let mut started_tasks: u32 = 0;
-        // The store takes four conditions for every change it allows: a job on
-        // more machines than that starts in several transactions.
-        let ops = self.set.settings.state.txn_ops;
-        let chunk_conds = (job.chunk_count(size) as usize).min(ops);
-        let most_machines = (ops * 4).saturating_sub(3 + chunk_conds).max(1);
-        for s in starts {
-            if machines.len() >= most_machines && !machines.contains(&s.machine) {
-                if job.spec.form == Form::Ensemble {
-                    return; // all or nothing, and all does not fit
-                }
-                continue;
-            }
-            if job.withdrawn() || !mine(&s.machine) || job.is_done(s.index, size) || job.place(s.index, size).is_some()
-            {
-                continue;
-            }
-            let rec = draft(&mut chunks, job, s.index / size);
-            if in_ranges(&rec.done, s.index) {
-                continue;
-            }
-            tracing::debug!(job = %uid, index = s.index, machine = %s.machine, attempt, "start");
-            rec.on.push(Place { index: s.index, machine: s.machine.clone(), attempt });
-            rec.tries = attempt;
-            machines.insert(s.machine.clone());
-            started.insert(s.machine.clone());
-            started_tasks += 1;
-        }
-        if chunks.is_empty() {
-            return;
-        }
-        let st = &self.set.settings.state;
-        let most = (64.0 * 1024.0 * CHUNK_SHARE) as usize / records::chunk_bytes(size);
-        let most = most.clamp(1, st.txn_ops.saturating_sub(2).max(1));
-        if chunks.len() > most {
-            if job.spec.form == Form::Ensemble {
-                return; // all or nothing, and all does not fit
-            }
-            chunks = chunks.into_iter().take(most).collect();
-        }
-        let mut txn = Txn::default();
-        txn.conds.push(Cond { key: key.clone(), entry_no: job.rec.version });
-        let hosts = machines.iter().filter_map(|m| self.view.hosts.get(m));
-        let packs: BTreeMap<&str, u64> = hosts.map(|h| (h.rec.pack.as_str(), h.version)).collect();
-        txn.conds.extend(packs.iter().map(|(p, v)| Cond { key: records::pack_key(p), entry_no: *v }));
-        // What an earlier incarnation sent late must not take back a place
-        // that its successor relies on.
-        txn.conds.push(self.block_cond());
-        // Zones are counted over the whole job, so all of it must be as seen.
-        let whole = job.spec.together || job.spec.apart;
-        for (n, c) in &job.chunks {
-            if whole && !chunks.contains_key(n) {
-                txn.conds.push(Cond { key: records::chunk_key(uid, *n), entry_no: c.version });
-            }
-        }
-        let mut part = None;
-        let team = self.set.settings.teams.iter().find(|t| t.name == job.spec.desk && limited(t));
-        if let Some(team) = team.filter(|_| started_tasks > 0) {
-            let key = records::team_key(&team.name);
-            let need = Amounts::of(&job.spec, f64::from(started_tasks));
-            let (cpus, gpus) = self.used(team);
-            let (n, age) = (self.set.controllers(), self.report_s(1.0));
-            let parts = self.parts.entry(team.name.clone()).or_default();
-            let rec = self.view.teams.get(&team.name);
-            let (strict, version) = rec.map_or((false, 0), |r| (r.rec.strict, r.version));
-            let near = !parts.allow(need, cpus, gpus, n, self.now, age);
-            if near && !strict {
-                // Nothing is started until all see that starts exclude each other now.
-                return self.near_limit(key, version);
-            } else if strict {
-                // The view must show what was started before the record was.
-                if self.busy.contains(&key) || self.view.revision < version {
-                    return; // exits are seen again in the next report
-                }
-                let far = |l: Limit| l.max <= 0.0 || l.used <= l.max * FAR_FROM_LIMIT;
-                let rec = records::TeamRec { strict: !(far(cpus) && far(gpus)), count: self.next_call };
-                txn.ops.push(Op::Put { key: key.clone(), data: records::to_value(&rec), lease: None });
-            } else {
-                part = Some((team.name.clone(), need));
-            }
-            txn.conds.push(Cond { key, entry_no: version });
-        }
-        let others: u32 =
-            job.chunks.iter().filter(|(n, _)| !chunks.contains_key(n)).map(|(_, c)| count_ranges(&c.rec.done)).sum();
-        let done = others + chunks.values().map(|c| count_ranges(&c.done)).sum::<u32>();
-        for (n, rec) in &chunks {
-            let key = records::chunk_key(uid, *n);
-            let version = job.chunks.get(n).map_or(0, |c| c.version);
-            txn.conds.push(Cond { key: key.clone(), entry_no: version });
-            if done < job.spec.parcels {
-                txn.ops.push(Op::Put { key, data: records::to_value(rec), lease: None });
-            }
-        }
-        if done >= job.spec.parcels {
-            txn.ops.push(end_op(uid, Status::Done, job.spec.parcels));
-            let keys = job.chunks.keys().map(|n| records::chunk_key(uid, *n));
-            txn.ops.extend(keys.take(st.txn_ops - 1).map(|key| Op::Delete { key }));
-        } else if job.withdrawn()
-            && job.chunks.len() < st.txn_ops
-            && job.chunks.iter().all(|(n, c)| chunks.get(n).unwrap_or(&c.rec).on.is_empty())
-        {
-            // The last task of a withdrawn job is gone, and with it all records.
-            txn.ops.clear();
-            txn.ops.push(end_op(uid, Status::Withdrawn, job.spec.parcels));
-            for (n, c) in &job.chunks {
-                let key = records::chunk_key(uid, *n);
-                if !txn.conds.iter().any(|c| c.key == key) {
-                    txn.conds.push(Cond { key: key.clone(), entry_no: c.version });
-                }
-                txn.ops.push(Op::Delete { key });
-            }
-        }
-        if let Some((team, amounts)) = &part {
-            self.parts.entry(team.clone()).or_default().sent(*amounts);
-        }
-        self.txn(txn, Why::Work { starts: started.into_iter().collect(), part });
-    }
-
     fn plan_starts(&mut self) -> Vec<Start> {
         let now = self.now;
         let size = self.view.chunk_size;
@@ -505,10 +361,6 @@
     job.rec.rec.shares.iter().map(move |s| (s.member.as_str(), f64::from(s.to + 1 - s.from) * each))
 }
 
-fn draft<'a>(chunks: &'a mut BTreeMap<u32, ChunkRec>, job: &Job, n: u32) -> &'a mut ChunkRec {
-    chunks.entry(n).or_insert_with(|| job.chunks.get(&n).map(|c| c.rec.clone()).unwrap_or_default())
-}
-
 pub(super) fn end_op(uid: &str, status: Status, parcels: u32) -> Op {
     let rec = records::JobRec { spec: None, end: Some(status), parcels, at_ms: 0, shares: Vec::new() };
     Op::Put { key: records::job_key(uid), data: records::to_value(&rec), lease: None }
--- /dev/null
+++ b/src/coordination/log.rs
@@ -0,0 +1,153 @@
+//! Writing this controller's log: what fits into the next segment, when it goes,
+//! and what is in doubt.
+//!
+//! One segment is under way at a time; facts gather meanwhile, so that batches
+//! grow with load while an idle controller's start goes at once. A segment whose
+//! answer is missing may still be carried out, minutes later. The next one goes
+//! to the same slot, on the condition that nobody has written it: whichever of
+//! the two comes first voids the other. So does the first segment of a restarted
+//! controller, which goes to the slot that its predecessor's last one would.
+
+use crate::bookkeeping::Amounts;
+use crate::bookkeeping::segment::{Facts, bytes};
+use crate::effects::Instant;
+use crate::protocol::store::Cond;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// When segments go, and what of the last ones is not known.
+#[derive(Debug, Default)]
+pub struct Writer {
+    /// One is under way.
+    pub busy: bool,
+    next_at: Instant,
+    /// Parts of teams' limits that segments in doubt would take.
+    pub doubt: Vec<(String, Amounts)>,
+}
+
+impl Writer {
+    /// Whether facts that can wait have waited long enough.
+    pub fn due(&self, now: Instant) -> bool {
+        now >= self.next_at
+    }
+
+    pub fn sent(&mut self, now: Instant, pace: Duration) {
+        self.busy = true;
+        self.next_at = now + pace;
+    }
+}
+
+/// What one transaction may hold.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    pub conds: usize,
+    pub bytes: usize,
+}
+
+/// A segment that is being put together.
+#[derive(Debug)]
+pub struct Draft {
+    limits: Limits,
+    bytes: usize,
+    pub conds: BTreeMap<String, u64>,
+    pub facts: BTreeMap<String, Facts>,
+    machines: BTreeSet<String>,
+}
+
+/// A fact that is to go into a segment, with what it needs there.
+#[derive(Debug, Clone, Default)]
+pub struct Need {
+    pub conds: Vec<(String, u64)>,
+    /// The machine it names.
+    pub machine: Option<String>,
+    pub bytes: usize,
+}
+
+impl Draft {
+    pub fn new(limits: Limits) -> Draft {
+        Draft { limits, bytes: bytes::FRAME, conds: BTreeMap::new(), facts: BTreeMap::new(), machines: BTreeSet::new() }
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.facts.is_empty()
+    }
+
+    /// Makes room for facts of a job, all of them or none.
+    pub fn take(&mut self, uid: &str, needs: &[&Need]) -> bool {
+        let new_conds: BTreeSet<&str> = needs
+            .iter()
+            .flat_map(|n| &n.conds)
+            .map(|(key, _)| key.as_str())
+            .filter(|key| !self.conds.contains_key(*key))
+            .collect();
+        let new_machines: BTreeSet<&str> =
+            needs.iter().filter_map(|n| n.machine.as_deref()).filter(|m| !self.machines.contains(*m)).collect();
+        let name = if self.facts.contains_key(uid) { 0 } else { bytes::name(uid) };
+        let size = name
+            + new_machines.iter().map(|m| bytes::name(m)).sum::<usize>()
+            + needs.iter().map(|n| n.bytes).sum::<usize>();
+        if self.conds.len() + new_conds.len() > self.limits.conds || self.bytes + size > self.limits.bytes {
+            return false;
+        }
+        self.bytes += size;
+        self.machines.extend(new_machines.into_iter().map(Into::into));
+        for (key, version) in needs.iter().flat_map(|n| &n.conds) {
+            self.conds.insert(key.clone(), *version);
+        }
+        self.facts.entry(uid.to_string()).or_default();
+        true
+    }
+
+    pub fn conditions(&self) -> impl Iterator<Item = Cond> + '_ {
+        self.conds.iter().map(|(key, entry_no)| Cond { key: key.clone(), entry_no: *entry_no })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::bookkeeping::records::Place;
+    use crate::bookkeeping::segment::SegmentRec;
+    use crate::protocol::encode;
+
+    fn need(pack: &str, machine: &str) -> Need {
+        let conds = vec![(pack.to_string(), 7), ("fq/j/run-1".to_string(), 3)];
+        Need { conds, machine: Some(machine.into()), bytes: bytes::START }
+    }
+
+    /// A transaction over a limit is refused as malformed, again and again.
+    #[test]
+    fn a_draft_stays_within_both_limits() {
+        let mut d = Draft::new(Limits { conds: 10, bytes: 8192 });
+        let taken = (0..40).filter(|i| d.take("run-1", &[&need(&format!("fq/h/{i}"), "m")])).count();
+        assert_eq!((taken, d.conds.len()), (9, 10), "the job's record is one of them");
+        let mut d = Draft::new(Limits { conds: 1000, bytes: 1024 });
+        let mut taken = 0;
+        while d.take("run-1", &[&need("fq/h/p", &format!("host-{taken:06}"))]) {
+            let place = Place { index: u32::MAX, machine: format!("host-{taken:06}"), attempt: u64::MAX };
+            d.facts.get_mut("run-1").unwrap().starts.push(place);
+            taken += 1;
+        }
+        let size = encode(&SegmentRec::of(u64::MAX, &d.facts)).len();
+        assert!(taken > 15 && size <= 1024, "{taken} starts in {size} bytes");
+    }
+
+    /// Half a gang in a segment would start without the other half.
+    #[test]
+    fn facts_that_belong_together_go_together_or_not_at_all() {
+        let mut d = Draft::new(Limits { conds: 4, bytes: 8192 });
+        let needs: Vec<Need> = (0..4).map(|i| need(&format!("fq/h/{i}"), "m")).collect();
+        assert!(!d.take("run-1", &needs.iter().collect::<Vec<_>>()) && d.is_empty());
+        assert!(d.take("run-1", &needs[..3].iter().collect::<Vec<_>>()));
+        assert_eq!(d.conditions().count(), 4);
+    }
+
+    #[test]
+    fn what_can_wait_goes_at_its_pace() {
+        let s = Duration::from_secs_f64;
+        let mut w = Writer::default();
+        assert!(w.due(s(0.0)));
+        w.sent(s(1.0), s(0.5));
+        assert!(w.busy && !w.due(s(1.4)) && w.due(s(1.5)));
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //! warrants, freshness of reads. State machines without sockets or clocks.
 
 pub mod blocks;
+pub mod log;
 pub mod machine;
 pub mod parts;
 pub mod session;
--- /dev/null
+++ b/tests/log/mod.rs
@@ -0,0 +1,135 @@
+//! The controllers' logs under failures: batches without answers, late ones, two
+//! incarnations of one writer, rings that go round. The world checks at every
+//! step that no task is in two places and that all limits hold.
+
+use crate::recovery::seeds;
+use crate::world::{SMALL, Size, World, array, service};
+use crate::{done, running};
+use rand::RngExt;
+
+fn fleet(seed: u64, controllers: usize, machines: u32) -> World {
+    let size = Size { controllers, machines, write_rps: 60.0, zones: &["a", "b"], team_max: 40.0, ..SMALL };
+    let mut w = World::sized(seed, size);
+    w.cloud.most = machines as usize + 10;
+    w
+}
+
+fn load(w: &mut World, jobs: usize, until_s: f64) {
+    for n in 0..jobs {
+        let at = w.rng.random_range(2.0..until_s);
+        let mut j = array(w.rng.random_range(5..40), 3.0);
+        if n % 3 == 0 {
+            j.team = "capped".into();
+        }
+        let uid = format!("run-{n:03}{}", n % 4);
+        if n % 6 == 5 {
+            let (gone, uid) = (w.rng.random_range(at..until_s + 10.0), uid.clone());
+            w.later(gone, move |w| w.jobs.get_mut(&uid).unwrap().withdraw_asked = true);
+        }
+        w.later(at, move |w| w.submit(&uid, j));
+    }
+}
+
+fn all_over(w: &World) {
+    for (uid, j) in &w.jobs {
+        let over = j.told_done || j.withdrawn_at.is_some() || j.standing;
+        assert!(over, "seed {}: {uid} is not over: {j:?}", w.seed);
+    }
+}
+
+/// Each start used to take a change of its job's record. A batch carries all that
+/// gathered while the one before was under way.
+#[test]
+fn writes_grow_with_seconds_and_not_with_tasks() {
+    let mut per_task = Vec::new();
+    for (machines, tasks) in [(30, 100), (120, 400)] {
+        let mut w = fleet(60, 3, machines);
+        w.submit("run-000", array(machines * 4, 2.0)); // every machine has the image
+        w.run_until(20.0);
+        let before = w.store.ledger();
+        for n in 1..11 {
+            w.submit(&format!("run-{n:02}2"), array(tasks / 5, 2.0));
+        }
+        w.run_until(50.0);
+        assert!((1..11).all(|n| done(&w, &format!("run-{n:02}2"))));
+        let segments = w.store.changes("fq/l/", before);
+        per_task.push((segments, f64::from(tasks * 2) / segments as f64));
+    }
+    let (small, large) = (per_task[0], per_task[1]);
+    assert!(large.1 > small.1 * 2.0 && large.0 < small.0 * 2, "{per_task:?}");
+}
+
+/// Answers to batches are lost, or the batches themselves come minutes late, after
+/// the writer was restarted and its machines had other owners.
+#[test]
+fn batches_in_doubt_start_nothing_twice() {
+    for seed in 0..seeds(8) {
+        let mut w = fleet(6100 + seed, 5, 60);
+        w.submit("run-009", service(20));
+        load(&mut w, 20, 60.0);
+        for _ in 0..8 {
+            let at = w.rng.random_range(6.0..60.0);
+            let end = at + w.rng.random_range(0.3..40.0);
+            let i = w.rng.random_range(0..5);
+            if w.rng.random_bool(0.5) {
+                w.later(at, move |w| w.nodes[i].answers_lost = true);
+                w.later(end, move |w| w.nodes[i].answers_lost = false);
+            } else {
+                w.later(at, move |w| w.nodes[i].store_cut = true);
+                // Restarted while its batch is held: what it wrote comes later.
+                if w.rng.random_bool(0.5) {
+                    let back = w.rng.random_range(at..end);
+                    w.later(back, move |w| w.crash(i));
+                }
+                w.later(end, move |w| w.join_store(i));
+            }
+        }
+        w.run_until(240.0);
+        all_over(&w);
+        assert_eq!(running(&w, "run-009"), 20, "seed {seed}");
+    }
+}
+
+/// A withdrawal, and a relet, refuse one job of a batch: the rest goes with the next.
+#[test]
+fn one_job_that_changed_does_not_hold_up_the_batch() {
+    let mut w = fleet(62, 3, 60);
+    for n in 0..30 {
+        w.submit(&format!("run-{n:02}3"), array(12, 4.0));
+    }
+    for n in 0..30 {
+        w.later(1.0 + 0.05 * f64::from(n), move |w| {
+            if n % 2 == 0 {
+                w.jobs.get_mut(&format!("run-{n:02}3")).unwrap().withdraw_asked = true;
+            }
+        });
+    }
+    w.run_until(60.0);
+    all_over(&w);
+}
+
+/// Rings go round many times, with services that outlive them, while controllers
+/// restart and the store goes away.
+#[test]
+fn what_a_ring_forgets_is_in_checkpoints() {
+    for seed in 0..seeds(3) {
+        let mut w = fleet(6200 + seed, 2, 40);
+        for n in 0..8 {
+            w.later(2.0 + f64::from(n), move |w| w.submit(&format!("run-{n}09"), service(4)));
+        }
+        load(&mut w, 60, 110.0);
+        for n in 0..5 {
+            let at = 20.0 + 18.0 * f64::from(n);
+            w.later(at, move |w| w.crash(n as usize % 2));
+        }
+        w.later(50.0, |w| w.store.set_down(w.now, true));
+        w.later(53.0, |w| w.store.set_down(w.now, false));
+        w.later(112.0, |w| (0..2).for_each(|i| w.crash(i)));
+        w.run_until(200.0);
+        all_over(&w);
+        for n in 0..8 {
+            assert_eq!(running(&w, &format!("run-{n}09")), 4, "seed {seed}: service {n}");
+        }
+        assert!(w.store.newest_segment() > 2 * 128, "{} segments: the ring did not go round", w.store.newest_segment());
+    }
+}
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -213,6 +213,12 @@
         text(lead, "member").trim_start_matches("perch-").parse().ok()
     }
 
+    /// The highest number of any segment in the logs.
+    pub fn newest_segment(&self) -> u64 {
+        let logs = self.keys.iter().filter(|(k, _)| k.starts_with("fq/l/"));
+        logs.map(|(_, e)| number(&e.data, "n")).max().unwrap_or(0)
+    }
+
     pub fn ledger(&self) -> u64 {
         self.ledger
     }
