Group commit: batches of their own for services alone, a ring of 256, folds later

Cause: aims on the start of arrays made every array start urgent, so that seven controllers wrote 34 segments a second of eight facts each; checkpoints were written at half a ring, of arrays that were about to end; the end of a withdrawn job, which nobody waits for, went before starts. A machine granted to a new owner was returned before it could have come round to it. Change: only services that must start soon have a batch at once; a ring of 256 slots, freed ahead from three quarters of it on; ends of withdrawn jobs wait for writes to spare; machines never heard by their owner are waited for a round of all controllers.

--- a/src/bookkeeping/segment.rs
+++ b/src/bookkeeping/segment.rs
@@ -13,10 +13,10 @@
 use thiserror::Error;
 
 /// Segments that a log holds; the next one takes the oldest one's slot, for which
-/// all that it says has to be in checkpoints. At two or three segments a second
+/// all that it says has to be in checkpoints. At two segments a second
 /// an array of the usual length ends within a ring, and most of what was written
 /// of it never has to be written again; a load reads a few pages more for it.
-pub const RING: u64 = 128;
+pub const RING: u64 = 256;
 
 /// A segment as it is stored. Names are listed once, and facts refer to them by
 /// number.
--- a/src/controller/leasing.rs
+++ b/src/controller/leasing.rs
@@ -34,7 +34,10 @@
         for uid in std::mem::take(&mut self.ending) {
             let key = records::job_key(&uid);
             let Some(j) = self.view.jobs.get(&uid).filter(|j| j.complete()) else { continue };
-            if self.busy.contains(&key) || self.outdated.contains_key(&key) || !self.may_write(1.0) {
+            // Who withdrew a job was told so long ago: that nothing is left of it can
+            // wait for writes to spare.
+            let need = if j.withdrawn() { 1.0 + self.writes.rate * SPARE_WRITES } else { 1.0 };
+            if self.busy.contains(&key) || self.outdated.contains_key(&key) || !self.may_write(need) {
                 self.ending.insert(uid);
                 continue;
             }
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -391,8 +391,9 @@
         // Whoever reaches it has to have had the time to say so.
         let told = self.report_s(HEARD_REPORTS) + Self::beat_every(self.report_s(1.0)).mul_f64(2.5);
         let limit = self.report_s(self.set.operator.silent_reports).max(told);
-        // After a grant the worker may still be waiting for its old controller.
-        let first = limit + self.secs(WORKER_MOVES_S);
+        // After a grant the worker may still be waiting for its old controller, and
+        // for others that do not hear it; nobody here knows its address yet.
+        let first = (limit + self.secs(WORKER_MOVES_S)).max(self.round_of_all());
         let (lapse, long) = (self.secs(w.lease_s * DRIFT + w.report_s), self.secs(w.lease_s * CUT_LEASES));
         let block = self.machines.len() as f64;
         let cap = (block / 4.0).max(1.0);
--- a/src/controller/segments.rs
+++ b/src/controller/segments.rs
@@ -22,7 +22,7 @@
 /// Bytes of one transaction that may go to checkpoints, as a share of the limit.
 const FOLD_SHARE: f64 = 0.75;
 /// Slots are freed ahead of need once they are so old, as a share of the ring.
-const AHEAD: f64 = 0.5;
+const AHEAD: f64 = 0.75;
 /// Checkpoints that are written ahead in one transaction.
 const FOLDS_AHEAD: usize = 8;
 
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -65,7 +65,7 @@
     /// Whether tasks wait here that must start soon.
     fn starts_soon(&self) -> bool {
         let here = |j: &Job| j.rec.rec.shares.iter().any(|s| s.member == self.me);
-        let soon = |j: &&Job| j.waiting_count() > 0 && here(j) && self.aims.start_within(&j.spec).is_some();
+        let soon = |j: &&Job| j.waiting_count() > 0 && here(j) && self.counted(&j.spec) == Counted::Lasting;
         self.view.jobs.values().any(|j| soon(&j))
     }
 
@@ -91,7 +91,8 @@
             let waited = waited.max(self.now.saturating_sub(since));
             let size = (starts + exits + gone) as f64;
             let weight = size * (waited + self.report_s(1.0)).as_secs_f64();
-            let soon = starts > 0 && self.aims.start_within(&job.spec).is_some();
+            // Aims on the start of arrays are long: no reason for a batch of their own.
+            let soon = starts > 0 && self.counted(&job.spec) == Counted::Lasting;
             let last = job.withdrawn() || change.is_some_and(|c| self.ends_part(job, c));
             urgent |= soon;
             let rank = match () {
--- a/tests/log/mod.rs
+++ b/tests/log/mod.rs
@@ -117,19 +117,20 @@
         for n in 0..8 {
             w.later(2.0 + f64::from(n), move |w| w.submit(&format!("run-{n}09"), service(4)));
         }
-        load(&mut w, 60, 110.0);
+        load(&mut w, 140, 230.0);
         for n in 0..5 {
             let at = 20.0 + 18.0 * f64::from(n);
             w.later(at, move |w| w.crash(n as usize % 2));
         }
         w.later(50.0, |w| w.store.set_down(w.now, true));
         w.later(53.0, |w| w.store.set_down(w.now, false));
-        w.later(112.0, |w| (0..2).for_each(|i| w.crash(i)));
-        w.run_until(200.0);
+        w.later(232.0, |w| (0..2).for_each(|i| w.crash(i)));
+        w.run_until(420.0);
         all_over(&w);
         for n in 0..8 {
             assert_eq!(running(&w, &format!("run-{n}09")), 4, "seed {seed}: service {n}");
         }
-        assert!(w.store.newest_segment() > 2 * 128, "{} segments: the ring did not go round", w.store.newest_segment());
+        let newest = w.store.newest_segment();
+        assert!(newest > 256 + 64, "{newest} segments: the ring did not go round");
     }
 }
