--- a/src/controller/links.rs
+++ b/src/controller/links.rs
@@ -219,26 +219,38 @@
         }
         self.owners_seen = Some(self.view.hosts_changed);
         let (now, view) = (self.now, &self.view);
-        self.owned_since.retain(|name, _| view.hosts.contains_key(name));
+        self.owned.retain(|name, _| view.hosts.contains_key(name));
         for (name, h) in &view.hosts {
-            let grant = h.rec.granted;
-            match self.owned_since.get_mut(name) {
-                Some(known) if known.0 == grant => {}
-                Some(known) => *known = (grant, now),
+            let (grant, owner) = (h.rec.granted, &h.rec.owner);
+            match self.owned.get_mut(name) {
+                Some(known) if known.grant == grant => {}
+                Some(known) => {
+                    (known.grant, known.since) = (grant, now);
+                    known.from = Some(std::mem::replace(&mut known.owner, owner.clone()));
+                }
                 None => {
-                    self.owned_since.insert(name.clone(), (grant, now));
+                    let owned = Owned { grant, since: now, owner: owner.clone(), from: None };
+                    self.owned.insert(name.clone(), owned);
                 }
             }
         }
     }
 
+    /// Whether a machine that never reported to us may still be answered by its
+    /// owner before us: one that the store no longer counts among the living, and
+    /// that may not know it.
+    pub(super) fn may_be_answered(&self, machine: &str) -> bool {
+        let from = self.owned.get(machine).and_then(|o| o.from.as_ref());
+        from.is_some_and(|m| *m != self.me && !self.view.members.contains_key(m))
+    }
+
     fn sight(&self, machine: &str, owner: &str, by_other: Option<Instant>) -> Sight {
         let (by_owner, owner_says_at) = if owner == self.me {
             (self.heard.get(machine).copied(), Some(self.now))
         } else {
             (self.links.heard_at(owner, machine), self.links.news(owner).map(|p| p.at))
         };
-        let owned_since = self.owned_since.get(machine).map_or(self.now, |o| o.1);
+        let owned_since = self.owned.get(machine).map_or(self.now, |o| o.since);
         Sight { by_owner, owner_says_at, by_other, owned_since }
     }
 
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -183,6 +183,16 @@
     at: Instant,
 }
 
+/// A machine's grant, as this process came to know it.
+#[derive(Debug)]
+struct Owned {
+    grant: u64,
+    since: Instant,
+    owner: String,
+    /// Whose it was before.
+    from: Option<String>,
+}
+
 /// Waiting and failing of one job, as seen here.
 #[derive(Debug, Default)]
 struct Patience {
@@ -254,9 +264,9 @@
     probed: HashMap<String, Instant>,
     /// Machines that came here though others own them, and when first.
     strays: HashMap<String, Instant>,
-    /// The grant of each machine, and since when it is known.
-    owned_since: HashMap<String, (u64, Instant)>,
-    /// The state of the view's machine records that `owned_since` follows.
+    /// The grant of each machine, as it became known here.
+    owned: HashMap<String, Owned>,
+    /// The state of the view's machine records that `owned` follows.
     owners_seen: Option<u64>,
     sack: Knapsack,
     aims: Aims,
@@ -376,7 +386,7 @@
             cut_until: HashMap::new(),
             probed: HashMap::new(),
             strays: HashMap::new(),
-            owned_since: HashMap::new(),
+            owned: HashMap::new(),
             owners_seen: None,
             sack: Knapsack::default(),
             aims: Aims::new(p.objectives.clone()),
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -395,6 +395,7 @@
         // for others that do not hear it; nobody here knows its address yet.
         let first = (limit + self.secs(WORKER_MOVES_S)).max(self.round_of_all());
         let (lapse, long) = (self.secs(w.lease_s * DRIFT + w.report_s), self.secs(w.lease_s * CUT_LEASES));
+        let cancel = self.secs(w.cancel_s * DRIFT + w.report_s);
         let block = self.machines.len() as f64;
         let cap = (block / 4.0).max(1.0);
         let dt = now.saturating_sub(self.release_at).as_secs_f64();
@@ -444,6 +445,9 @@
             if m.heard_at.is_none() && !placed {
                 continue; // it was rented and may be booting: the leader waits for it
             }
+            if m.heard_at.is_none() && self.may_be_answered(name) && !m.lapsed(now, lapse, cancel) {
+                continue;
+            }
             let wait = match account(site(name)) {
                 Silence::Dead => limit,
                 Silence::Undecided => limit.max(lapse),
--- /dev/null
+++ b/tests/exploration.rs
@@ -0,0 +1,47 @@
+//! Models of what controllers agree on, explored exhaustively at a small size,
+//! each guard removed once to see that it is needed.
+
+mod models;
+
+use finchquay_explorer::{Failed, explore};
+use models::attest::{Attest, Trust};
+use models::log::{Guards, Log};
+
+fn broken<M: finchquay_explorer::Model>(model: &M) -> String {
+    match explore(model, 6_000_000) {
+        Err(Failed::Broken { what, path }) => format!("{what} after {} events", path.len()),
+        other => panic!("not caught: {other:?}"),
+    }
+}
+
+#[test]
+fn the_log_fences_owners_and_incarnations() {
+    let all = Guards::default();
+    for (tasks, ledger) in [(1, 5), (2, 4)] {
+        let found = explore(&Log { guards: all, tasks, ledger }, 6_000_000).unwrap_or_else(|e| panic!("{e}"));
+        println!("log: {tasks} tasks, {ledger} changes: {} states, {} events deep", found.states, found.depth);
+        assert!(found.states > 10_000);
+    }
+    for (name, guards) in [
+        ("slot", Guards { slot: false, ..all }),
+        ("job", Guards { job: false, ..all }),
+        ("seen", Guards { seen: false, ..all }),
+        ("grant", Guards { grant: false, ..all }),
+    ] {
+        println!("without {name}: {}", broken(&Log { guards, tasks: 1, ledger: 6 }));
+    }
+}
+
+#[test]
+fn attestation_ends_in_time() {
+    let found = explore(&Attest { trust: Trust::default() }, 6_000_000).unwrap_or_else(|e| panic!("{e}"));
+    println!("attestation: {} states, {} events deep", found.states, found.depth);
+    assert!(found.states > 1_000);
+    for (name, trust) in [
+        ("echo", Trust { echo: false, ..Trust::default() }),
+        ("revision", Trust { revision: false, ..Trust::default() }),
+        ("limit", Trust { limit: false, ..Trust::default() }),
+    ] {
+        println!("without {name}: {}", broken(&Attest { trust }));
+    }
+}
--- /dev/null
+++ b/tests/models/attest.rs
@@ -0,0 +1,182 @@
+//! Controller A answers a machine; B, which leads, may grant it to itself and may
+//! take a withdrawal, whenever it reaches the store. A reaches the store or not,
+//! beats pass or not, or are held back and come late. Stands for
+//! `Controller::entitled`, `links::table::attested` and `Machine::lapsed`.
+
+use finchquay_explorer::Model;
+
+/// What an attestation rests on; each can be taken away.
+#[derive(Debug, Clone, Copy)]
+pub struct Trust {
+    /// It counts from the beat of ours that it echoes, not from when it came.
+    pub echo: bool,
+    /// The view it speaks of is no newer than ours.
+    pub revision: bool,
+    /// It is good for as long as a read of the store is, not for ever.
+    pub limit: bool,
+}
+
+impl Default for Trust {
+    fn default() -> Trust {
+        Trust { echo: true, revision: true, limit: true }
+    }
+}
+
+pub struct Attest {
+    pub trust: Trust,
+}
+
+/// In steps: a worker's lease, and the time that a cancellation has.
+const LEASE: u8 = 2;
+const CANCEL: u8 = 5;
+/// Ages above this are all the same.
+const OLD: u8 = 6;
+
+/// What B said: the age of A's beat that it echoes, the age of the words
+/// themselves, and the revision of its view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct Word {
+    echo: u8,
+    age: u8,
+    revision: u8,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct State {
+    /// Changes of the store so far, and which of them were what.
+    revision: u8,
+    granted: Option<u8>,
+    withdrawn: Option<u8>,
+    /// Views, and the age of A's last read of the store.
+    a_view: u8,
+    b_view: u8,
+    a_fresh: u8,
+    /// The age of the newest beat of A's that B has.
+    b_has: u8,
+    /// Words under way, oldest first, and the newest that came.
+    flying: Vec<Word>,
+    word: Option<Word>,
+    /// The task on A's machine, and how long ago the machine was answered.
+    runs: bool,
+    answered: u8,
+    /// Since B holds the machine without having heard it.
+    adopted: Option<u8>,
+    /// B has heard the machine and goes on from there.
+    handed: bool,
+    /// The task was started on another machine.
+    elsewhere: bool,
+    /// Since the user was told that the job is withdrawn.
+    told: Option<u8>,
+}
+
+impl Attest {
+    fn entitled(&self, s: &State) -> bool {
+        let young = |age: u8| age < CANCEL - LEASE;
+        let t = &self.trust;
+        let word = s.word.filter(|w| !t.revision || w.revision <= s.a_view);
+        young(s.a_fresh) || word.is_some_and(|w| !t.limit || young(if t.echo { w.echo } else { w.age }))
+    }
+
+    /// One step of time, with what works in it.
+    fn step(&self, s: &State, a_store: bool, beat: bool, arrives: bool) -> State {
+        let mut n = s.clone();
+        let older = |age: &mut u8| *age = (*age + 1).min(OLD);
+        [&mut n.a_fresh, &mut n.b_has, &mut n.answered].into_iter().for_each(older);
+        n.adopted.iter_mut().for_each(older);
+        n.told.iter_mut().for_each(older);
+        for w in n.flying.iter_mut().chain(n.word.as_mut()) {
+            older(&mut w.echo);
+            older(&mut w.age);
+        }
+        if n.runs && n.answered > LEASE {
+            n.runs = false;
+        }
+        if a_store {
+            (n.a_view, n.a_fresh) = (n.revision, 0);
+        }
+        if beat {
+            n.b_has = 0;
+        }
+        if n.flying.is_empty() {
+            n.flying.push(Word { echo: n.b_has, age: 0, revision: n.b_view });
+        }
+        if arrives {
+            // In order; how long it was held back shows in nothing but the echo.
+            let mut w = n.flying.remove(0);
+            w.age = 0;
+            n.word = Some(w);
+        }
+        // The machine reports to A while that answers, else to B.
+        let knows = |view: u8, change: Option<u8>| change.is_some_and(|r| r <= view);
+        if self.entitled(&n) && !knows(n.a_view, n.granted) {
+            n.answered = 0;
+            n.runs &= !knows(n.a_view, n.withdrawn);
+        } else if n.adopted.is_some() {
+            n.handed = true;
+            n.runs &= !knows(n.b_view, n.withdrawn);
+        }
+        // What B never heard has lapsed by now.
+        if n.adopted.is_some_and(|age| age >= CANCEL) && !n.handed {
+            n.elsewhere = true;
+        }
+        n
+    }
+}
+
+impl Model for Attest {
+    type State = State;
+
+    fn start(&self) -> State {
+        State {
+            revision: 0,
+            granted: None,
+            withdrawn: None,
+            a_view: 0,
+            b_view: 0,
+            a_fresh: 0,
+            b_has: 0,
+            flying: Vec::new(),
+            word: None,
+            runs: true,
+            answered: 0,
+            adopted: None,
+            handed: false,
+            elsewhere: false,
+            told: None,
+        }
+    }
+
+    fn next(&self, s: &State, out: &mut Vec<(String, State)>) {
+        for a_store in [false, true] {
+            for beat in [false, true] {
+                for arrives in [false, true].into_iter().take(1 + usize::from(!s.flying.is_empty())) {
+                    let name = format!("a step, store {a_store}, beat {beat}, word {arrives}");
+                    out.push((name, self.step(s, a_store, beat, arrives)));
+                }
+            }
+        }
+        // B reaches the store: it grants the machine to itself, and tells a user.
+        if s.granted.is_none() {
+            let mut n = s.clone();
+            n.revision += 1;
+            (n.granted, n.b_view, n.adopted) = (Some(n.revision), n.revision, Some(0));
+            out.push(("the machine is granted to B".into(), n));
+        }
+        if s.withdrawn.is_none() {
+            let mut n = s.clone();
+            n.revision += 1;
+            (n.withdrawn, n.b_view, n.told) = (Some(n.revision), n.revision, Some(0));
+            out.push(("the user is told withdrawn".into(), n));
+        }
+    }
+
+    fn check(&self, s: &State) -> Result<(), String> {
+        if s.elsewhere && s.runs && !s.handed {
+            return Err("the task runs on two machines".into());
+        }
+        if s.runs && !s.handed && s.told.is_some_and(|age| age > CANCEL) {
+            return Err("the task outlives its withdrawal".into());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/tests/models/mod.rs
@@ -0,0 +1,2 @@
+pub mod attest;
+pub mod log;
