--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -477,6 +477,8 @@
         match f.kind {
             K::StoreOutage => self.store(StoreFault::Outage(true)),
             K::StoreRefuse => self.store(StoreFault::Refuse(self.member(f.controller), true)),
+            K::StoreCut => self.store(StoreFault::Cut(self.member(f.controller), true)),
+            K::StoreMute => self.store(StoreFault::Mute(self.member(f.controller), true)),
             K::StoreSlow => self.store(StoreFault::Slow(Some((late / 2, late)))),
             K::StoreRestart => self.kill_store().await,
             K::WriteLost => pick(WriteFault::Lose),
@@ -495,6 +497,10 @@
                 return names;
             }
             K::ZoneCut => self.driver.cut(|c| c.zones.extend(f.zone.clone())),
+            K::ZoneLinkCut => {
+                let link = (f.zone.clone().unwrap_or_default(), self.member(f.controller));
+                self.driver.cut(|c| c.links.extend([link]));
+            }
             K::ControllerKill => self.hit(f).into_iter().for_each(|i| self.cluster.kill(i)),
             K::ControllerFreeze => self.hit(f).into_iter().for_each(|i| self.cluster.freeze(i, true)),
             K::ControllerDeaf => {
@@ -522,6 +528,8 @@
         match f.kind {
             K::StoreOutage => self.store(StoreFault::Outage(false)),
             K::StoreRefuse => self.store(StoreFault::Refuse(self.member(f.controller), false)),
+            K::StoreCut => self.store(StoreFault::Cut(self.member(f.controller), false)),
+            K::StoreMute => self.store(StoreFault::Mute(self.member(f.controller), false)),
             K::StoreSlow => self.store(StoreFault::Slow(None)),
             K::StoreRestart => self.restart_store().await,
             K::CloudOutage => cloud(CloudFault::Outage(false)),
@@ -530,6 +538,10 @@
             K::Scarce => cloud(CloudFault::Scarce(1.0)),
             K::MachinesCut | K::MachinesHang | K::MachinesSick | K::MachinesSlow => self.machines(f, &hit, false),
             K::ZoneCut => self.driver.cut(|c| c.zones.retain(|z| Some(z) != f.zone.as_ref())),
+            K::ZoneLinkCut => {
+                let link = (f.zone.clone().unwrap_or_default(), self.member(f.controller));
+                self.driver.cut(|c| c.links.retain(|l| *l != link));
+            }
             K::ControllerFreeze => self.hit(f).into_iter().for_each(|i| self.cluster.freeze(i, false)),
             K::ControllerDeaf => {
                 let member = self.member(f.controller);
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -259,6 +259,11 @@
     StoreOutage,
     /// The state service refuses one controller.
     StoreRefuse,
+    /// Nothing passes between one controller and the state service; what it wrote
+    /// arrives when the cut is over.
+    StoreCut,
+    /// One controller's requests are carried out, and the answers are lost.
+    StoreMute,
     /// The state service answers late.
     StoreSlow,
     /// The state service is killed, and started again from its log.
@@ -289,6 +294,8 @@
     /// Machines run their tasks slower.
     MachinesSlow,
     ZoneCut,
+    /// The machines of a zone and one controller do not reach each other.
+    ZoneLinkCut,
     ControllerKill,
     /// A controller stands still while its clocks run on.
     ControllerFreeze,
@@ -349,7 +356,7 @@
     match kind {
         StoreOutage | CloudOutage => (&["for_s"], &[]),
         StoreRestart => (&["for_s"], &[]),
-        StoreRefuse | ControllerFreeze | ControllerDeaf => (&["for_s", "controller"], &[]),
+        StoreRefuse | StoreCut | StoreMute | ControllerFreeze | ControllerDeaf => (&["for_s", "controller"], &[]),
         StoreSlow => (&["for_s", "late_s"], &[]),
         WriteLost | WriteUnanswered => (&["prefix"], &["skip", "count"]),
         WriteLate => (&["prefix", "late_s"], &["skip", "count"]),
@@ -361,6 +368,7 @@
         MachinesCut | MachinesHang | MachinesSick => (&["for_s", "count"], &[]),
         MachinesSlow => (&["for_s", "count", "factor"], &[]),
         ZoneCut => (&["for_s", "zone"], &[]),
+        ZoneLinkCut => (&["for_s", "zone", "controller"], &[]),
         ControllerKill => (&[], &["controller"]),
         PeersRefused => (&["for_s"], &["controller"]),
         Rolling => (&[], &["late_s"]),
--- a/crates/rehearsal/src/state/service.rs
+++ b/crates/rehearsal/src/state/service.rs
@@ -49,6 +49,10 @@
     Outage(bool),
     /// One node is refused.
     Refuse(String, bool),
+    /// Nothing passes to or from one node; its transactions arrive when it is over.
+    Cut(String, bool),
+    /// One node gets no answers.
+    Mute(String, bool),
     /// Answers come this much later.
     Slow(Option<(Duration, Duration)>),
     Write(Pick),
@@ -116,6 +120,9 @@
         began: Instant::now(),
         outage: false,
         refused: BTreeSet::new(),
+        cut: BTreeSet::new(),
+        mute: BTreeSet::new(),
+        held: Vec::new(),
         slow: None,
         picks: Vec::new(),
         watches: Vec::new(),
@@ -187,6 +194,10 @@
     began: Instant,
     outage: bool,
     refused: BTreeSet<String>,
+    cut: BTreeSet<String>,
+    mute: BTreeSet<String>,
+    /// Transactions of nodes that are cut off.
+    held: Vec<(String, Txn)>,
     slow: Option<(Duration, Duration)>,
     picks: Vec<Pick>,
     watches: Vec<Watch>,
@@ -260,7 +271,15 @@
         reply: oneshot::Sender<(Reply, Duration)>,
         leases: &mut Vec<(u64, Option<Duration>)>,
     ) {
+        if self.cut.contains(&node) {
+            if let (Some(Route::Multi), Ok(txn)) = (route(&request.method, &request.path), decode::<Txn>(&request.body))
+            {
+                self.held.push((node, txn));
+            }
+            return;
+        }
         self.counts.requests += 1;
+        let mute = self.mute.contains(&node);
         let answer = if self.outage || self.refused.contains(&node) {
             Reply::empty(503)
         } else if !self.store.request(now) {
@@ -292,7 +311,10 @@
             }
         };
         self.counts.refused += u64::from(matches!(answer.status, 429 | 503));
-        self.answers.push((reply, answer));
+        // A reply that is dropped never comes.
+        if !mute {
+            self.answers.push((reply, answer));
+        }
     }
 
     fn simple(
@@ -404,6 +426,22 @@
             Fault::Refuse(node, false) => {
                 self.refused.remove(&node);
             }
+            Fault::Cut(node, true) => {
+                self.cut.insert(node);
+            }
+            Fault::Cut(node, false) => {
+                self.cut.remove(&node);
+                let (late, held): (Vec<_>, Vec<_>) =
+                    std::mem::take(&mut self.held).into_iter().partition(|(n, _)| *n == node);
+                self.held = held;
+                self.late.extend(late.into_iter().map(|(_, txn)| (now, txn)));
+            }
+            Fault::Mute(node, true) => {
+                self.mute.insert(node);
+            }
+            Fault::Mute(node, false) => {
+                self.mute.remove(&node);
+            }
             Fault::Slow(range) => self.slow = range,
             Fault::Write(pick) => self.picks.push(pick),
             Fault::LoseTail(n) => {
@@ -431,6 +469,9 @@
                 open.push(w);
                 continue;
             }
+            if self.cut.contains(&w.node) || self.mute.contains(&w.node) {
+                continue; // its answer is lost, or held back past any use
+            }
             let ledger_no = self.store.ledger();
             let answer = match self.store.changes(&w.starts, w.after) {
                 None => Reply::empty(410),
--- a/crates/rehearsal/src/suite.rs
+++ b/crates/rehearsal/src/suite.rs
@@ -29,6 +29,7 @@
     item!("store-killed", Holds),
     item!("machines-fall", Holds),
     item!("controllers-fall", Holds),
+    item!("links-fall", Holds),
     item!("drawn", Holds),
     item!("lost-job", Recorded),
     item!("lost-tasks", Recorded),
--- a/src/controller/segments.rs
+++ b/src/controller/segments.rs
@@ -32,6 +32,13 @@
 /// Something has to be seen or answered first.
 struct NotYet;
 
+/// How the starts of a limited team go: a condition on its record, or a change of it.
+struct Quota {
+    team: String,
+    cond: (String, u64),
+    strict: Option<records::TeamRec>,
+}
+
 /// What a team's starts in one segment take of its limit, and how.
 struct Taken {
     amounts: Amounts,
@@ -200,8 +207,8 @@
         }
         let spec = job.spec.clone();
         let Some(quota) = self.quota(&spec, wanted.len(), taken, near) else { return true };
-        if let Some((_, cond, _)) = &quota {
-            wanted.iter_mut().for_each(|(_, n)| n.conds.push(cond.clone()));
+        if let Some(q) = &quota {
+            wanted.iter_mut().for_each(|(_, n)| n.conds.push(q.cond.clone()));
         }
         if gang {
             let all: Vec<&Need> = wanted.iter().map(|w| &w.1).collect();
@@ -222,24 +229,23 @@
                 f.starts.push(place);
             }
         }
-        if let Some((team, _, strict)) = quota.filter(|_| started > 0) {
-            let t = taken.entry(team).or_insert(Taken { amounts: Amounts::default(), strict });
+        if let Some(q) = quota.filter(|_| started > 0) {
+            let new = Taken { amounts: Amounts::default(), strict: q.strict };
+            let t = taken.entry(q.team).or_insert(new);
             t.amounts.plus(Amounts::of(&spec, f64::from(started)), 1.0);
         }
         !full
     }
 
-    /// How the starts of so many tasks go with their team's limit: nothing to be
-    /// done, a condition on its record, or a change of it; none if they have to
-    /// wait.
-    #[allow(clippy::type_complexity)]
+    /// How the starts of so many tasks go with their team's limit, if it has one;
+    /// none if they have to wait.
     fn quota(
         &mut self,
         spec: &crate::protocol::user::JobSpec,
         tasks: usize,
         taken: &BTreeMap<String, Taken>,
         near: &mut Option<(String, u64)>,
-    ) -> Option<Option<(String, (String, u64), Option<records::TeamRec>)>> {
+    ) -> Option<Option<Quota>> {
         let Some(team) = self.set.settings.teams.iter().find(|t| t.name == spec.desk && limited(t)) else {
             return Some(None);
         };
@@ -265,7 +271,7 @@
             return None;
         }
         if !strict {
-            return Some(Some((name, (key, version), None)));
+            return Some(Some(Quota { team: name, cond: (key, version), strict: None }));
         }
         // The view must show what was started before the record was.
         if self.busy.contains(&key) || self.view.revision < version {
@@ -273,7 +279,7 @@
         }
         let far = |l: Limit| l.max <= 0.0 || l.used <= l.max * FAR_FROM_LIMIT;
         let rec = records::TeamRec { strict: !(far(cpus) && far(gpus)), count: self.next_call };
-        Some(Some((name, (key, version), Some(rec))))
+        Some(Some(Quota { team: name, cond: (key, version), strict: Some(rec) }))
     }
 
     /// The checkpoint that a chunk needs before the segment of `slot_version` may
