--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -607,6 +607,8 @@
                 for n in gone {
                     let heard = (0..self.nodes.len()).any(|i| self.nodes[i].logic.is_some() && self.reaches(&n, i));
                     let w = self.workers.remove(&n).unwrap();
+                    // One that was cut off from all comes back after a time-out and a pause.
+                    let heard = heard && w.back_at.is_none_or(|t| self.now > t + s(6.0));
                     let running = w.tasks.values().filter(|t| t.state == TaskState::Running).count();
                     self.lost_alive += if heard { running } else { 0 };
                 }
@@ -671,6 +673,7 @@
         let Some(w) = self.workers.get_mut(name) else { return };
         w.cut = cut;
         if !cut {
+            w.back_at = Some(now);
             for body in std::mem::take(&mut w.held) {
                 let w = self.workers.get_mut(name).unwrap();
                 let (_, _, started) = w.pushed(&body, now);
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -41,6 +41,8 @@
     lease_from: Duration,
     pub next_report: Duration,
     pub cut: bool,
+    /// When the last cut ended: it takes a while to call again.
+    pub back_at: Option<Duration>,
     /// Nodes that it can't reach, nor they it.
     pub unreached: BTreeSet<usize>,
     pub held: Vec<Value>,
@@ -80,6 +82,7 @@
             lease_from: now,
             next_report: now,
             cut: false,
+            back_at: None,
             unreached: BTreeSet::new(),
             held: Vec::new(),
             sick: false,
