--- a/src/bookkeeping/tests.rs
+++ b/src/bookkeeping/tests.rs
@@ -1,6 +1,7 @@
 //! The view against a full count, a replay and a load.
 
 use super::*;
+use ciborium::cbor;
 
 fn pack(owner: &str, incarnation: u64) -> Value {
     let names = ["m-1", "m-2"].map(String::from).to_vec();
@@ -224,3 +225,24 @@
         }
     }
 }
+
+/// State of versions before the logs is read: a chunk's record without a revision
+/// is as of its own, and segments go on from there.
+#[test]
+fn records_of_earlier_versions_are_read() {
+    let mut v = View::loading(8, 20);
+    let spec = JobSpec::example("run-1");
+    let rec = JobRec { parcels: spec.parcels, spec: Some(spec), end: None, at_ms: 0, shares: Vec::new() };
+    v.put("fq/j/run-1", &to_value(&rec), 1);
+    let old = cbor!({"done" => [], "on" => [{"i" => 0, "m" => "m", "a" => 1}], "tries" => 1}).unwrap();
+    v.put("fq/t/run-1/0", &old, 7);
+    v.put("fq/term", &cbor!({"term" => 4}).unwrap(), 2);
+    let gone = Facts { gone: [(0, 1)].into(), ..Facts::default() };
+    let segment = |seq, f: &Facts| to_value(&SegmentRec::of(seq, &[("run-1".to_string(), f.clone())].into()));
+    // What was said before the record was written is in it.
+    v.put("fq/l/a/1", &segment(1, &gone), 5);
+    v.loaded();
+    assert_eq!((v.jobs["run-1"].placed, v.form, v.revision), (1, 0, 20));
+    v.put("fq/l/a/2", &segment(2, &gone), 21);
+    assert_eq!(v.jobs["run-1"].placed, 0);
+}
--- a/tests/log/mod.rs
+++ b/tests/log/mod.rs
@@ -3,8 +3,9 @@
 //! step that no task is in two places and that all limits hold.
 
 use crate::recovery::seeds;
-use crate::world::{SMALL, Size, World, array, service};
+use crate::world::{SMALL, Size, World, array, s, service};
 use crate::{done, running};
+use ciborium::cbor;
 use rand::RngExt;
 
 fn fleet(seed: u64, controllers: usize, machines: u32) -> World {
@@ -90,6 +91,18 @@
     }
 }
 
+/// A later version has been here, whose records this one would misread.
+#[test]
+fn state_of_a_later_form_is_not_touched() {
+    let mut w = fleet(61, 3, 10);
+    let term = cbor!({"then" => [{"put" => "fq/term", "data" => {"term" => 3, "form" => 99}}]}).unwrap();
+    w.store.apply(s(0.1), &term);
+    w.submit("run-009", service(4));
+    w.run_until(40.0);
+    assert_eq!((w.store.leader(), w.store.count("fq/"), running(&w, "run-009")), (None, 1, 0));
+    assert!((0..3).all(|i| !w.healthy(i)));
+}
+
 /// A withdrawal, and a relet, refuse one job of a batch: the rest goes with the next.
 #[test]
 fn one_job_that_changed_does_not_hold_up_the_batch() {
