--- a/crates/rehearsal/src/machine/fleet.rs
+++ b/crates/rehearsal/src/machine/fleet.rs
@@ -368,6 +368,9 @@
             f.advance(s(3.0));
             f.with("host-0", s(3.0), |w, sh| w.hang(s(3.0), true, sh));
             f.advance(s(back));
+            // Its tasks start elsewhere once the lease is over, not once it wakes.
+            let lapsed = f.take().0.iter().any(|(_, h)| matches!(h, Happening::Stop { cause: "lapsed", .. }));
+            assert_eq!(lapsed, !alive, "{back}");
             f.with("host-0", s(back), |w, sh| w.hang(s(back), false, sh));
             assert_eq!(state(&mut f, "host-0", back + 1.0, "run-1/0").is_some(), alive, "{back}");
             if alive {
--- a/crates/rehearsal/src/machine/worker.rs
+++ b/crates/rehearsal/src/machine/worker.rs
@@ -163,7 +163,8 @@
         self.tasks.values().filter(|t| t.state == TaskState::Running).count()
     }
 
-    /// Stops or resumes execution. What lapsed meanwhile is gone on resuming.
+    /// Stops or resumes execution. Leases run on: PROTOCOL lets a hanging machine
+    /// resume within its lease, and after that there is nothing left to resume.
     pub fn hang(&mut self, now: Duration, on: bool, shared: &mut Shared) {
         match (self.hung_since, on) {
             (None, true) => {
@@ -189,25 +190,25 @@
 
     /// When something happens here by itself next.
     pub fn next(&self) -> Option<Duration> {
+        let lapse = self.lease_from + self.traits.lease + Duration::from_millis(1);
         if self.hangs() {
-            return None;
+            return Some(lapse);
         }
         let tasks = self.tasks.values().filter_map(|t| t.until);
-        let lapse = self.lease_from + self.traits.lease + Duration::from_millis(1);
         tasks.chain(self.images.next()).chain([lapse]).min()
     }
 
     /// Lets time pass.
     pub fn advance(&mut self, now: Duration, shared: &mut Shared) {
-        if self.hangs() {
-            return;
-        }
         if now > self.lease_from + self.traits.lease {
             self.drop_all(now, "lapsed", shared);
             self.shift += 1;
             self.lease_from = now;
             self.changed = true;
         }
+        if self.hangs() {
+            return;
+        }
         self.images.advance(now, false);
         let due: Vec<(TaskId, u64)> = self
             .tasks
