--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -5,7 +5,7 @@
 pub mod records;
 pub mod segment;
 
-use crate::protocol::user::{Form, JobSpec, Status};
+use crate::protocol::user::{Form, JobSpec, Status, TASKS_LIMIT};
 use ciborium::Value;
 use records::*;
 use segment::{Facts, SegmentRec};
@@ -264,8 +264,6 @@
     pub logs: BTreeMap<String, Log>,
     /// Jobs whose last task was done or gone, to be ended.
     pub complete: Vec<String>,
-    /// The form of the records, as far as it is known.
-    pub form: u32,
     /// While the state is loaded: segments read, up to a revision.
     pending: Option<(u64, Vec<Pending>)>,
     /// Chunks whose job record has not been seen yet.
@@ -284,6 +282,11 @@
         View { pending: Some((revision, Vec::new())), ..View::new(chunk_size) }
     }
 
+    /// The form of the records, as the last leader wrote it; 0: before the logs.
+    pub fn form(&self) -> u32 {
+        self.term.as_ref().map_or(0, |t| t.rec.form)
+    }
+
     /// All pages are read. Segments of up to the revision of the first page are
     /// replayed in the ledger's order; what is newer comes again from the watch.
     pub fn loaded(&mut self) {
@@ -298,10 +301,7 @@
     /// Takes in a put, unless what is known of the key is as new.
     pub fn put(&mut self, key: &str, data: &Value, version: u64) {
         match parse_key(key) {
-            Some(Key::Term) => {
-                keep(&mut self.term, data, version);
-                self.form = self.term.as_ref().map_or(0, |t| t.rec.form);
-            }
+            Some(Key::Term) => keep(&mut self.term, data, version),
             Some(Key::Lead) => {
                 self.members_changed += 1;
                 keep(&mut self.lead, data, version);
@@ -483,8 +483,7 @@
         if log.slots.get(&slot).is_some_and(|s| s.version >= version) {
             return;
         }
-        let most = self.jobs.values().map(|j| j.spec.parcels).max().unwrap_or(0);
-        let facts = match rec.facts(most) {
+        let facts = match rec.facts(TASKS_LIMIT) {
             Ok(facts) => facts,
             Err(e) => {
                 tracing::error!(%member, slot, %e);
@@ -492,13 +491,9 @@
             }
         };
         let size = self.chunk_size;
-        let mut touched: BTreeSet<(&str, u32)> = BTreeSet::new();
-        for (uid, f) in &facts {
-            let gone = f.gone.iter().map(|g| g.0);
-            let indexes = f.done.iter().copied().chain(gone).chain(f.starts.iter().map(|p| p.index));
-            touched.extend(indexes.map(|i| (*uid, i / size)));
-        }
-        let touched = touched.into_iter().map(|(uid, n)| (uid.to_string(), n)).collect();
+        let chunks =
+            |(uid, f): (&&str, &Facts)| f.chunks(size).into_iter().map(|n| (uid.to_string(), n)).collect::<Vec<_>>();
+        let touched = facts.iter().flat_map(chunks).collect();
         log.seq = log.seq.max(rec.seq);
         log.slots.insert(slot, Slot { version, seq: rec.seq, touched });
         for (uid, f) in &facts {
@@ -512,10 +507,8 @@
         let size = self.chunk_size;
         let Some(job) = self.jobs.get_mut(uid) else { return };
         let parcels = job.spec.parcels;
-        let gone = facts.gone.iter().map(|g| g.0);
-        let indexes = facts.done.iter().copied().chain(gone).chain(facts.starts.iter().map(|p| p.index));
-        let numbers: BTreeSet<u32> = indexes.filter(|i| *i < parcels).map(|i| i / size).collect();
-        for n in numbers {
+        let last = parcels.div_ceil(size);
+        for n in facts.chunks(size).into_iter().filter(|n| *n < last) {
             let chunk = job.chunks.entry(n).or_default();
             if version <= chunk.rec.asof {
                 continue;
--- a/src/bookkeeping/segment.rs
+++ b/src/bookkeeping/segment.rs
@@ -49,6 +49,15 @@
     pub starts: Vec<Place>,
 }
 
+impl Facts {
+    /// The chunks of `size` tasks that the facts are about.
+    pub fn chunks(&self, size: u32) -> BTreeSet<u32> {
+        let gone = self.gone.iter().map(|g| g.0);
+        let indexes = self.done.iter().copied().chain(gone).chain(self.starts.iter().map(|p| p.index));
+        indexes.map(|i| i / size).collect()
+    }
+}
+
 /// A segment that refers to a name it does not list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("segment {0} refers to a name that it does not list")]
--- a/src/bookkeeping/tests.rs
+++ b/src/bookkeeping/tests.rs
@@ -242,7 +242,7 @@
     // What was said before the record was written is in it.
     v.put("fq/l/a/1", &segment(1, &gone), 5);
     v.loaded();
-    assert_eq!((v.jobs["run-1"].placed, v.form, v.revision), (1, 0, 20));
+    assert_eq!((v.jobs["run-1"].placed, v.form(), v.revision), (1, 0, 20));
     v.put("fq/l/a/2", &segment(2, &gone), 21);
     assert_eq!(v.jobs["run-1"].placed, 0);
 }
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -582,8 +582,12 @@
     /// Whether the machine has come up, as far as is known here: it runs
     /// something, or some controller hears it.
     pub(super) fn is_up(&self, name: &str) -> bool {
-        self.view.loads.contains_key(name)
-            || self.heard.contains_key(name)
+        self.view.loads.contains_key(name) || self.heard_by_any(name)
+    }
+
+    /// Whether some controller hears it, or did of late.
+    pub(super) fn heard_by_any(&self, name: &str) -> bool {
+        self.heard.contains_key(name)
             || self.machines.get(name).is_some_and(|m| m.heard_at.is_some())
             || self.links.knows(name)
     }
--- a/src/controller/segments.rs
+++ b/src/controller/segments.rs
@@ -7,7 +7,7 @@
 use crate::bookkeeping::Job;
 use crate::bookkeeping::records::{ChunkRec, Place};
 use crate::bookkeeping::segment::{Facts, RING, SegmentRec, bytes};
-use crate::coordination::log::{Draft, Limits, Need};
+use crate::coordination::log::{Draft, Limits, Need, byte_shares, fitting};
 use crate::coordination::parts::Limit;
 use crate::placement::Start;
 use crate::protocol::encode;
@@ -19,8 +19,6 @@
 /// A segment's answer is waited for so long, in report intervals; what comes later
 /// is void, or else the next one is.
 const ANSWER_REPORTS: f64 = 0.25;
-/// Bytes of one transaction that may go to checkpoints, as a share of the limit.
-const FOLD_SHARE: f64 = 0.75;
 /// Slots are freed ahead of need once they are so old, as a share of the ring.
 const AHEAD: f64 = 0.75;
 /// Checkpoints that are written ahead in one transaction.
@@ -69,12 +67,11 @@
             return;
         };
         let room = st.txn_ops.saturating_sub(2).max(1);
-        let heavy = folds.iter().map(|f| f.2).sum::<usize>() > (64.0 * 1024.0 * FOLD_SHARE) as usize - 8 * 1024;
-        if folds.len() > room || heavy {
+        let (value, beside) = byte_shares((st.value_kb * 1024.0) as usize);
+        if folds.len() > room || folds.iter().map(|f| f.2).sum::<usize>() > beside {
             folds.truncate(room.min(FOLDS_AHEAD));
             return self.send_folds(folds);
         }
-        let value = (st.value_kb * 1024.0) as usize;
         let conds = (st.txn_ops * 4).saturating_sub(folds.len() + 1);
         let mut draft = Draft::new(Limits { conds, bytes: value });
         let mut taken: BTreeMap<String, Taken> = BTreeMap::new();
@@ -337,10 +334,11 @@
         }
     }
 
-    fn send_folds(&mut self, folds: Vec<Fold>) {
+    fn send_folds(&mut self, mut folds: Vec<Fold>) {
         if self.folding {
             return;
         }
+        folds.truncate(fitting(folds.iter().map(|f| f.2)));
         self.folding = true;
         let mut txn = Txn::default();
         for (cond, op, _) in folds {
--- a/src/controller/start.rs
+++ b/src/controller/start.rs
@@ -55,9 +55,7 @@
         let (mut block, mut fleet) = (Heard::default(), Heard::default());
         let listed = self.list_at.is_some();
         for (name, h) in &self.view.hosts {
-            let heard = self.heard.contains_key(name)
-                || self.machines.get(name).is_some_and(|m| m.heard_at.is_some())
-                || self.links.knows(name);
+            let heard = self.heard_by_any(name);
             // What the cloud lists as booting, or not at all, is not waited for.
             let running = |l: &Listed| l.phase == Listing::Running;
             if !heard && listed && !self.list.get(name).is_some_and(running) {
--- a/src/controller/sync.rs
+++ b/src/controller/sync.rs
@@ -187,9 +187,9 @@
         // Changes during the paging come again from the watch.
         let mut view = std::mem::take(&mut self.scan);
         view.loaded();
-        if view.form > records::FORM {
+        if view.form() > records::FORM {
             tracing::error!(
-                form = view.form,
+                form = view.form(),
                 known = records::FORM,
                 "the stored state is of a later form than this program knows; nothing is started"
             );
--- a/src/coordination/log.rs
+++ b/src/coordination/log.rs
@@ -37,6 +37,30 @@
     }
 }
 
+/// The most that a transaction takes, and the part of it that values may have:
+/// conditions and keys need the rest.
+const TXN_BYTES: usize = 64 * 1024;
+const VALUES_SHARE: f64 = 0.75;
+
+/// Bytes for a segment, and for checkpoints that go with it in one transaction,
+/// where a value may have `value` of them.
+pub fn byte_shares(value: usize) -> (usize, usize) {
+    let all = (TXN_BYTES as f64 * VALUES_SHARE) as usize;
+    let segment = value.min(all / 4 * 3);
+    (segment, all - segment)
+}
+
+/// How many checkpoints of these sizes fit into a transaction of their own, one at
+/// least, since no value is larger than a transaction.
+pub fn fitting(sizes: impl IntoIterator<Item = usize>) -> usize {
+    let all = (TXN_BYTES as f64 * VALUES_SHARE) as usize;
+    let sums = sizes.into_iter().scan(0, |sum, size| {
+        *sum += size;
+        Some(*sum)
+    });
+    sums.take_while(|sum| *sum <= all).count().max(1)
+}
+
 /// What one transaction may hold.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
@@ -142,6 +166,19 @@
         assert_eq!(d.conditions().count(), 4);
     }
 
+    /// With values of 32 KiB a segment and the checkpoints beside it came to more
+    /// than a transaction holds: it would have been refused as malformed for ever.
+    #[test]
+    fn a_transaction_holds_what_is_put_into_it() {
+        for value in [1, 8, 32, 64, 512].map(|kb| kb * 1024) {
+            let (segment, folds) = byte_shares(value);
+            assert!(segment <= value && segment + folds <= 48 * 1024 && folds >= 12 * 1024, "{value}");
+        }
+        assert_eq!(byte_shares(8 * 1024), (8 * 1024, 40 * 1024));
+        assert_eq!(fitting([16 * 1024; 8]), 3);
+        assert_eq!((fitting([2 * 1024; 8]), fitting([60 * 1024; 2])), (8, 1));
+    }
+
     #[test]
     fn what_can_wait_goes_at_its_pace() {
         let s = Duration::from_secs_f64;
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -52,7 +52,6 @@
     pushed: BTreeSet<(String, u32, u64, bool)>,
     pub errors: u32,
     pub shut_until: Instant,
-    pub idle_since: Option<Instant>,
     /// Images it is known to hold.
     pub images: Images,
     /// Images it fetches, and since when that is known.
@@ -92,7 +91,6 @@
             pushed: BTreeSet::new(),
             errors: 0,
             shut_until: Duration::ZERO,
-            idle_since: None,
             images: Images::default(),
             fetches: BTreeMap::new(),
             releasing: false,
--- a/src/coordination/session.rs
+++ b/src/coordination/session.rs
@@ -34,8 +34,6 @@
     pub barriers: Vec<(u64, Instant)>,
     /// The view was known to be current at this time.
     pub fresh_at: Option<Instant>,
-    /// Last time the store answered anything at all but a refusal.
-    pub served_at: Option<Instant>,
     pub gap: Duration,
     pub ttl: Duration,
 }
@@ -60,7 +58,6 @@
             barrier_sent: Duration::ZERO,
             barriers: Vec::new(),
             fresh_at: None,
-            served_at: None,
             gap,
             ttl,
         }
