--- a/crates/rehearsal/src/cluster.rs
+++ b/crates/rehearsal/src/cluster.rs
@@ -43,7 +43,8 @@
 }
 
 enum Order {
-    Kill,
+    /// Back after this long, or as the scenario has it.
+    Kill(Option<Duration>),
     Stop,
 }
 
@@ -140,10 +141,11 @@
         Ok((Cluster { places, members, refused, _relays: running }, Sockets { state, cloud }))
     }
 
-    /// Ends a controller without a signal that it could handle; it comes back.
-    pub fn kill(&self, i: usize) {
+    /// Ends a controller without a signal that it could handle; it comes back after
+    /// `restart`, or as the scenario has it.
+    pub fn kill(&self, i: usize, restart: Option<Duration>) {
         if let Some(m) = self.members.get(i) {
-            let _ = m.orders.send(Order::Kill);
+            let _ = m.orders.send(Order::Kill(restart));
         }
     }
 
@@ -236,12 +238,18 @@
             };
             self.pid.store(0, Ordering::SeqCst);
             let _ = child.kill().await;
-            match order {
-                None => self.note("ended"),
-                Some(Some(Order::Kill)) => self.note("killed"),
+            let restart = match order {
+                None => {
+                    self.note("ended");
+                    None
+                }
+                Some(Some(Order::Kill(restart))) => {
+                    self.note("killed");
+                    restart
+                }
                 Some(Some(Order::Stop) | None) => return,
-            }
-            let back = tokio::time::sleep(self.restart);
+            };
+            let back = tokio::time::sleep(restart.unwrap_or(self.restart));
             tokio::pin!(back);
             loop {
                 tokio::select! {
--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -468,6 +468,7 @@
         use FaultKind as K;
         let (now, count, factor) = (self.now(), f.count.unwrap_or(1), f.factor.unwrap_or(1.0));
         let late = Scenario::seconds(f.late_s.unwrap_or(0.0));
+        let restart = f.restart_s.map(Scenario::seconds);
         let cloud = |fault| lock(&self.cloud).fault(now, &fault);
         let build = f.machine_type.clone();
         let pick = |fault| {
@@ -501,7 +502,14 @@
                 let link = (f.zone.clone().unwrap_or_default(), self.member(f.controller));
                 self.driver.cut(|c| c.links.extend([link]));
             }
-            K::ControllerKill => self.hit(f).into_iter().for_each(|i| self.cluster.kill(i)),
+            K::ControllerKill => {
+                for n in 0..count {
+                    if n > 0 {
+                        tokio::time::sleep(late).await;
+                    }
+                    self.hit(f).into_iter().for_each(|i| self.cluster.kill(i, restart));
+                }
+            }
             K::ControllerFreeze => self.hit(f).into_iter().for_each(|i| self.cluster.freeze(i, true)),
             K::ControllerDeaf => {
                 let member = self.member(f.controller);
@@ -509,9 +517,10 @@
             }
             K::PeersRefused => self.hit(f).into_iter().for_each(|i| self.cluster.refuse_peers(i, true)),
             K::Rolling => {
-                let between = late.max(Scenario::seconds(self.scenario.controllers.restart_s * 2.0));
+                let each = restart.unwrap_or(Scenario::seconds(self.scenario.controllers.restart_s));
+                let between = late.max(each * 2);
                 for i in 0..self.cluster.places.len() {
-                    self.cluster.kill(i);
+                    self.cluster.kill(i, restart);
                     tokio::time::sleep(between).await;
                 }
             }
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -322,7 +322,7 @@
     pub machine_type: Option<String>,
     #[serde(default)]
     pub zone: Option<String>,
-    /// Machines, writes or transactions that it hits.
+    /// Machines, writes or transactions that it hits; times that a controller ends.
     #[serde(default)]
     pub count: Option<u32>,
     /// Times as long, as slow; or the share that is left.
@@ -334,9 +334,12 @@
     /// Such writes that pass before.
     #[serde(default)]
     pub skip: Option<u32>,
-    /// How late.
+    /// How late; the time from one end to the next.
     #[serde(default)]
     pub late_s: Option<f64>,
+    /// After how long a process is back; as the controllers are set where absent.
+    #[serde(default)]
+    pub restart_s: Option<f64>,
 }
 
 /// Faults drawn by the seed.
@@ -369,9 +372,9 @@
         MachinesSlow => (&["for_s", "count", "factor"], &[]),
         ZoneCut => (&["for_s", "zone"], &[]),
         ZoneLinkCut => (&["for_s", "zone", "controller"], &[]),
-        ControllerKill => (&[], &["controller"]),
+        ControllerKill => (&[], &["controller", "count", "late_s", "restart_s"]),
         PeersRefused => (&["for_s"], &["controller"]),
-        Rolling => (&[], &["late_s"]),
+        Rolling => (&[], &["late_s", "restart_s"]),
     }
 }
 
@@ -387,6 +390,7 @@
             ("prefix", self.prefix.is_some()),
             ("skip", self.skip.is_some()),
             ("late_s", self.late_s.is_some()),
+            ("restart_s", self.restart_s.is_some()),
         ];
         fields.into_iter().filter(|(_, given)| *given).map(|(name, _)| name).collect()
     }
@@ -407,6 +411,7 @@
             factor: has("factor").then(|| if kind == FaultKind::Scarce { 0.3 } else { 4.0 }),
             prefix: has("prefix").then(|| prefixes[rng.random_range(0..prefixes.len())].to_string()),
             skip: None,
+            restart_s: None,
             late_s: has("late_s").then(|| if kind == FaultKind::StoreSlow { 0.4 } else { for_s }),
         }
     }
@@ -594,7 +599,13 @@
         if let Some(extra) = given.iter().find(|g| !must.contains(g) && !may.contains(g)) {
             return Err(at(extra, "this kind has no use for it".into()));
         }
-        let times = [("at_s", f.at_s), ("for_s", f.for_s.unwrap_or(0.0)), ("late_s", f.late_s.unwrap_or(0.0))];
+        let or_none = |v: Option<f64>| v.unwrap_or(0.0);
+        let times = [
+            ("at_s", f.at_s),
+            ("for_s", or_none(f.for_s)),
+            ("late_s", or_none(f.late_s)),
+            ("restart_s", or_none(f.restart_s)),
+        ];
         for (key, v) in times {
             if !(v.is_finite() && v >= 0.0) {
                 return Err(at(key, format!("must not be negative, is {v}")));
--- a/crates/rehearsal/src/suite.rs
+++ b/crates/rehearsal/src/suite.rs
@@ -30,6 +30,7 @@
     item!("machines-fall", Holds),
     item!("controllers-fall", Holds),
     item!("links-fall", Holds),
+    item!("quick-restarts", Holds),
     item!("drawn", Holds),
     item!("lost-job", Recorded),
     item!("lost-tasks", Recorded),
