Quick restarts: loads in bursts, health of a start, a gate by rounds, catalog kept

Cause: a controller back after 0.2 s was blind for 2.3 to 4 s (records read 200 a page, one page in 155 ms, however idle the store), said so to the load balancer, which took all nodes out for up to half a minute; with a fifth of the machines hanging what needs the fleet waited for a whole lease; without the cloud nobody could start serving; and the last beat of an ended process displaced its successor's.

--- a/crates/protocol/src/cloud.rs
+++ b/crates/protocol/src/cloud.rs
@@ -14,7 +14,7 @@
     pub builds: Vec<MachineType>,
 }
 
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct MachineType {
     pub label: String,
     #[serde(deserialize_with = "amount")]
--- a/crates/protocol/src/store.rs
+++ b/crates/protocol/src/store.rs
@@ -187,7 +187,7 @@
 }
 
 pub fn scan_path(prefix: &str, after: &str) -> String {
-    let page = 200;
+    let page = PAGE_LIMIT;
     if after.is_empty() {
         format!("/store?starts={prefix}&page={page}")
     } else {
@@ -213,7 +213,7 @@
         let long = "k".repeat(KEY_LIMIT + 1);
         let cases = [
             ("GET", key_path("a/b"), Some(Route::Get("a/b"))),
-            ("GET", scan_path("c/", "c/7"), Some(Route::Scan { starts: "c/", after: "c/7", page: 200 })),
+            ("GET", scan_path("c/", "c/7"), Some(Route::Scan { starts: "c/", after: "c/7", page: PAGE_LIMIT })),
             (
                 "GET",
                 follow_path("c/", 9, 99_999),
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -243,6 +243,7 @@
     pub members_changed: u64,
     pub lead: Option<Versioned<LeadRec>>,
     pub term: Option<Versioned<TermRec>>,
+    pub catalog: Option<Versioned<CatalogRec>>,
     pub packs: Versions<PackRec>,
     /// Grants of whole blocks, by member.
     pub blocks: Versions<BlockRec>,
@@ -324,6 +325,7 @@
                 }
             }
             Some(Key::Packs) => self.packs_version = version.max(self.packs_version),
+            Some(Key::Catalog) => keep(&mut self.catalog, data, version),
             Some(Key::Team(name)) => keep_named(&mut self.teams, name, data, version),
             Some(Key::Job(uid)) => {
                 if let Some(rec) = from_value(data) {
@@ -578,7 +580,10 @@
                 self.pack_changed(name, &old);
             }
             // Jobs are never deleted, and chunks only with their job's end.
-            Some(Key::Job(_) | Key::Chunk(..) | Key::Log(..) | Key::Team(_) | Key::Packs | Key::Block(_)) | None => {}
+            Some(
+                Key::Job(_) | Key::Chunk(..) | Key::Log(..) | Key::Team(_) | Key::Packs | Key::Catalog | Key::Block(_),
+            )
+            | None => {}
         }
     }
 
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -2,6 +2,7 @@
 //! program keeps lives under one prefix, so that one watch sees every change.
 
 use super::segment::RING;
+use crate::protocol::cloud::MachineType;
 use crate::protocol::user::{JobSpec, Status};
 use ciborium::Value;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -15,6 +16,9 @@
 /// Changed with every pack of several machines, so that none of them can be
 /// recorded a second time by a controller that has not seen the pack.
 pub const PACKS_KEY: &str = "fq/packs";
+/// The cloud's catalog as the leader last read it, for those that start while the
+/// cloud does not answer. The leader alone writes it.
+pub const CATALOG_KEY: &str = "fq/catalog";
 
 /// Where the records of teams lie.
 pub const TEAMS: &str = "fq/q/";
@@ -40,6 +44,20 @@
     pub form: u32,
 }
 
+/// The machine types that the cloud has.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CatalogRec {
+    pub types: Vec<MachineType>,
+}
+
+impl CatalogRec {
+    /// Whether these are the same types; current prices move all the time.
+    pub fn has(&self, types: &[MachineType]) -> bool {
+        let steady = |t: &MachineType| MachineType { spot_price: 0.0, ..t.clone() };
+        self.types.len() == types.len() && self.types.iter().zip(types).all(|(a, b)| steady(a) == steady(b))
+    }
+}
+
 /// The form of records that this program writes and reads, with those before it.
 /// State of a later form is not touched.
 pub const FORM: u32 = 1;
@@ -223,6 +241,7 @@
     Term,
     Lead,
     Packs,
+    Catalog,
     Member(&'a str),
     Block(&'a str),
     Job(&'a str),
@@ -238,6 +257,7 @@
         TERM_KEY => return Some(Key::Term),
         LEAD_KEY => return Some(Key::Lead),
         PACKS_KEY => return Some(Key::Packs),
+        CATALOG_KEY => return Some(Key::Catalog),
         _ => {}
     }
     let (kind, rest) = key.strip_prefix(PREFIX)?.split_once('/')?;
--- a/src/controller/commit.rs
+++ b/src/controller/commit.rs
@@ -30,6 +30,8 @@
     Forget,
     /// A team comes near its limit.
     Limit,
+    /// What the cloud offers.
+    Catalog,
 }
 
 impl Why {
@@ -46,6 +48,7 @@
             Why::Close => "close",
             Why::Relet => "relet",
             Why::Mark => "mark",
+            Why::Catalog => "catalog",
             Why::Forget => "forget",
             Why::Limit => "limit",
         }
--- a/src/controller/fleet.rs
+++ b/src/controller/fleet.rs
@@ -27,6 +27,8 @@
 /// A machine that was listed for so many lags of the list is in any later list,
 /// unless it is gone: lists are at most two lags old.
 const SURE_LAGS: f64 = 2.5;
+/// A machine type takes no more than this of a record.
+const CATALOG_BYTES: usize = 512;
 /// The fleet is looked at this often while the machine list grows old.
 const FLEET_LAG_SHARE: f64 = 0.1;
 
@@ -43,6 +45,25 @@
         self.call(Target::Cloud, "GET", CATALOG.into(), None, timeout, Purpose::Catalog);
     }
 
+    /// Keeps the catalog in the store, so that whoever starts while the cloud does not
+    /// answer knows what can run.
+    fn store_catalog(&mut self) {
+        let stored = self.view.catalog.as_ref();
+        let most = (self.set.settings.state.value_kb * 1024.0) as usize / CATALOG_BYTES;
+        let told = self.types.is_empty() || self.types.len() > most || stored.is_some_and(|c| c.rec.has(&self.types));
+        if told || self.busy.contains(records::CATALOG_KEY) || !self.may_write(1.0 + self.writes.rate * ACCEPT_RESERVE)
+        {
+            return;
+        }
+        let key = records::CATALOG_KEY.to_string();
+        let rec = records::CatalogRec { types: self.types.clone() };
+        let txn = Txn {
+            conds: vec![self.lead_cond(), Cond { key: key.clone(), entry_no: stored.map_or(0, |c| c.version) }],
+            ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
+        };
+        self.txn_keyed(txn, Why::Catalog);
+    }
+
     pub(super) fn fleet_tick(&mut self) {
         let now = self.now;
         if now < self.fleet_next {
@@ -56,6 +77,7 @@
             self.list_new.clear();
             self.list_page("");
         }
+        self.store_catalog();
         if self.list_at.is_none() || self.types.is_empty() {
             return;
         }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -286,6 +286,8 @@
     fleet_next: Instant,
     retry: Retries,
     returns: Returns,
+    /// What the last health check was told.
+    was_healthy: Option<bool>,
     lead_next: Instant,
     /// The state of the view's members that the lead was last looked at in.
     lead_seen: u64,
@@ -350,8 +352,11 @@
             out: Vec::new(),
             next_call: 1,
             calls: HashMap::new(),
-            ses: Session::new(ttl, gap),
-            start: Start::new(Duration::from_secs_f64(p.workers.lease_s)),
+            ses: Session::new(ttl, gap, p.state.rps * LOAD_BURST / n),
+            start: Start::new(
+                Duration::from_secs_f64(p.workers.lease_s),
+                Duration::from_secs_f64(p.workers.report_s * start::LONGEST_REPORT + perches::WORKER_MOVES_S),
+            ),
             ticked_at: Duration::ZERO,
             view: View::new(chunk),
             scan: View::new(chunk),
@@ -401,6 +406,7 @@
             perches_next: Duration::ZERO,
             fleet_next: Duration::ZERO,
             returns: Returns::default(),
+            was_healthy: None,
             retry: Retries::new(incarnation, pauses(&set, ttl, gap)),
             lead_next: Duration::ZERO,
             lead_seen: 0,
@@ -692,6 +698,10 @@
 const WRITE_SHARE: f64 = 0.9;
 /// Part of the cloud's requests that the leader may use.
 const RENTER_SHARE: f64 = 0.7;
+/// Part of a second's worth of the store's requests that a start may use at once, over
+/// all controllers: the store allows bursts of a second's worth, and one that starts
+/// has nothing better to use them for.
+const LOAD_BURST: f64 = 0.5;
 /// Part of a second's writes that stays free for submissions.
 const ACCEPT_RESERVE: f64 = 0.25;
 /// Writes that lose nothing by waiting are made while this part of a second's
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -1,6 +1,8 @@
 //! Requests of users: submissions, queries, withdrawals, health.
 
 use super::*;
+use crate::coordination::health::{Facts, healthy};
+use crate::links::table::Peer;
 use crate::protocol::store::{Cond, Op};
 use crate::protocol::user::{ErrorBody, Form, JobSpec, JobState, Route, Status, route, valid_uid};
 use crate::protocol::{decode, encode};
@@ -14,6 +16,10 @@
         match route(method, path.split('?').next().unwrap_or("")) {
             Route::Health => {
                 let ok = self.healthy();
+                if self.was_healthy.replace(ok) != Some(ok) {
+                    let stale_ms = self.ses.staleness(self.now).map(|s| s.as_millis() as u64);
+                    tracing::info!(ok, loaded = self.ses.following(), stale_ms, "health as users see it");
+                }
                 self.respond(conn, if ok { 200 } else { 503 }, Vec::new());
             }
             Route::Submit => self.submit(conn, body),
@@ -44,31 +50,20 @@
         self.respond(conn, status, encode(&ErrorBody { error: error.into() }));
     }
 
-    /// Whether the load balancer should send users here. In an outage that
-    /// all share there is no better node to send them to.
+    /// Whether the load balancer should send users here.
     fn healthy(&self) -> bool {
-        if self.types.is_empty() {
-            return false;
-        }
-        if self.ses.following() && self.fresh() {
-            return true;
-        }
-        // If another controller's view is much fresher than ours, it is we who
-        // are refused; if none is, an outage hits all and users may as well stay.
-        let ours = self.ses.staleness(self.now).unwrap_or(Duration::MAX);
         let margin = self.report_s(1.0);
-        let recent =
-            self.links.peers().map(|(_, p)| (p, self.now.saturating_sub(p.at))).filter(|(_, since)| *since < margin);
-        let theirs: Vec<Duration> = recent.map(|(p, since)| p.stale.saturating_add(since)).collect();
-        let fresher = theirs.iter().any(|t| t.saturating_add(margin) < ours);
-        // Others say that they are no better off: then the first request after
-        // the outage finds a way in, and need not wait for probes.
-        let shared = !theirs.is_empty() && theirs.iter().all(|t| *t > margin);
-        if self.ses.following() {
-            !fresher && (self.entitled() || shared)
-        } else {
-            shared && self.retry.is_open(Side::State)
-        }
+        let since = |p: &Peer| self.now.saturating_sub(p.at);
+        let recent = self.links.peers().map(|(_, p)| p).filter(|p| since(p) < margin);
+        healthy(&Facts {
+            age: self.now,
+            loaded: self.ses.following(),
+            stale: self.ses.staleness(self.now),
+            others: recent.map(|p| p.stale.saturating_add(since(p))).collect(),
+            entitled: self.entitled(),
+            store_away: self.retry.is_open(Side::State),
+            margin,
+        })
     }
 
     fn submit(&mut self, conn: ConnId, body: &[u8]) {
--- a/src/controller/start.rs
+++ b/src/controller/start.rs
@@ -7,6 +7,9 @@
 use crate::recovery::phase::{Facts, Heard, Phase};
 use crate::recovery::square::{Shown, Stored, case};
 
+/// A report comes at an interval, give or take a quarter; a worker that is not
+/// answered tries the next controller once before that counts.
+pub(super) const LONGEST_REPORT: f64 = 1.25;
 /// A process that stood still for so many report intervals has heard nobody.
 const PAUSE_REPORTS: f64 = 2.0;
 
--- a/src/controller/sync.rs
+++ b/src/controller/sync.rs
@@ -30,43 +30,56 @@
             }
         }
         match self.ses.load {
-            Load::Reading => {
-                if !self.ses.scan_busy && now >= self.ses.scan_next && self.retry.may(Retry::Load, now) {
-                    self.ses.scan_busy = true;
-                    self.ses.scan_next = now + self.ses.gap;
-                    let path = store::scan_path(records::PREFIX, &self.ses.scan_after);
-                    self.call(Target::State, "GET", path, None, ttl, Purpose::Scan);
-                }
-            }
+            Load::Reading => self.load_tick(),
             Load::Following => {
                 self.follow_tick();
                 self.member_tick();
-                let due = self.queries.iter().any(|q| q.stage == Stage::Queued)
-                    || self.ses.staleness(now).is_none_or(|s| s > self.report_s(0.25));
-                let may = now >= self.ses.barrier_next && self.retry.may(Retry::Barrier, now);
-                if due && !self.ses.barrier_busy && may {
-                    self.ses.barrier_busy = true;
-                    self.ses.barrier_next = now + self.ses.gap;
-                    for q in &mut self.queries {
-                        if q.stage == Stage::Queued {
-                            q.stage = Stage::Asked;
-                        }
-                    }
-                    self.ses.barrier_sent = now;
-                    let path = store::key_path(records::BARRIER_KEY);
-                    let timeout = self.report_s(0.5);
-                    self.call(Target::State, "GET", path, None, timeout, Purpose::Barrier);
-                }
+                self.barrier_tick();
+            }
+        }
+    }
+
+    /// Reads the next page of the stored state.
+    fn load_tick(&mut self) {
+        let now = self.now;
+        let due = now >= self.ses.scan_after_pause && self.ses.scan_pace.may(now);
+        if self.ses.scan_busy || !due || !self.retry.may(Retry::Load, now) {
+            return;
+        }
+        self.ses.scan_busy = true;
+        self.ses.scan_pace.take(now);
+        let path = store::scan_path(records::PREFIX, &self.ses.scan_after);
+        self.call(Target::State, "GET", path, None, self.ses.ttl, Purpose::Scan);
+    }
+
+    /// Reads what proves the view fresh, where somebody waits for it or it is time.
+    fn barrier_tick(&mut self) {
+        let now = self.now;
+        let due = self.queries.iter().any(|q| q.stage == Stage::Queued)
+            || self.ses.staleness(now).is_none_or(|s| s > self.report_s(0.25));
+        let may = self.ses.barrier_pace.may(now) && self.retry.may(Retry::Barrier, now);
+        if !due || self.ses.barrier_busy || !may {
+            return;
+        }
+        self.ses.barrier_busy = true;
+        self.ses.barrier_pace.take(now);
+        for q in &mut self.queries {
+            if q.stage == Stage::Queued {
+                q.stage = Stage::Asked;
             }
         }
+        self.ses.barrier_sent = now;
+        let path = store::key_path(records::BARRIER_KEY);
+        let timeout = self.report_s(0.5);
+        self.call(Target::State, "GET", path, None, timeout, Purpose::Barrier);
     }
 
     fn follow_tick(&mut self) {
-        if self.ses.follow_busy || self.now < self.ses.follow_next || !self.retry.may(Retry::Watch, self.now) {
+        if self.ses.follow_busy || !self.ses.follow_pace.may(self.now) || !self.retry.may(Retry::Watch, self.now) {
             return;
         }
         self.ses.follow_busy = true;
-        self.ses.follow_next = self.now + self.ses.gap;
+        self.ses.follow_pace.take(self.now);
         let hold = self.report_s(2.0);
         let path = store::follow_path(records::PREFIX, self.view.revision, hold.as_millis() as u64);
         self.call(Target::State, "GET", path, None, hold * 2, Purpose::Follow);
@@ -182,7 +195,7 @@
             && rows.truncated
         {
             self.ses.scan_after = last.key.clone();
-            return;
+            return self.load_tick();
         }
         // Changes during the paging come again from the watch.
         let mut view = std::mem::take(&mut self.scan);
@@ -200,6 +213,10 @@
         self.adopted = None;
         self.ses.load = Load::Following;
         self.start.loaded(self.now);
+        if let Some(c) = self.view.catalog.as_ref().filter(|_| self.types.is_empty()) {
+            // Until the cloud answers; it is asked all the same.
+            self.types.clone_from(&c.rec.types);
+        }
         self.dirty = true;
         tracing::info!(
             revision = self.view.revision,
@@ -208,6 +225,10 @@
             "state loaded"
         );
         self.view_changed();
+        // What workers wait for begins with these; none of them waits for a tick.
+        self.follow_tick();
+        self.member_tick();
+        self.barrier_tick();
     }
 
     fn followed(&mut self, f: Followed) {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,8 +2,10 @@
 //! warrants, freshness of reads. State machines without sockets or clocks.
 
 pub mod blocks;
+pub mod health;
 pub mod log;
 pub mod machine;
+pub mod pace;
 pub mod parts;
 pub mod session;
 pub mod warrant;
--- a/src/coordination/session.rs
+++ b/src/coordination/session.rs
@@ -1,6 +1,7 @@
 //! This controller's standing with the state service: its lease, the first
 //! load, the watch, and the read barrier that proves a view fresh.
 
+use super::pace::Pace;
 use crate::effects::Instant;
 use std::time::Duration;
 
@@ -24,11 +25,13 @@
     pub scan_busy: bool,
     pub scan_after: String,
     pub scan_revision: Option<u64>,
-    pub scan_next: Instant,
+    pub scan_pace: Pace,
+    /// A load that begins anew waits until then.
+    pub scan_after_pause: Instant,
     pub follow_busy: bool,
-    pub follow_next: Instant,
+    pub follow_pace: Pace,
     pub barrier_busy: bool,
-    pub barrier_next: Instant,
+    pub barrier_pace: Pace,
     pub barrier_sent: Instant,
     /// Reads whose answer the watch has not reached: (revision, sent at).
     pub barriers: Vec<(u64, Instant)>,
@@ -39,8 +42,11 @@
 }
 
 impl Session {
-    /// `gap` is the least time between two reads of a kind.
-    pub fn new(ttl: Duration, gap: Duration) -> Session {
+    /// `gap` is the time between two reads of a kind over a while; `pages` of a load
+    /// may go at once.
+    pub fn new(ttl: Duration, gap: Duration, pages: f64) -> Session {
+        // The watch and its barriers save up half a second's worth.
+        let steady = || Pace::new(gap, 0.5 / gap.as_secs_f64());
         Session {
             load: Load::Reading,
             lease: None,
@@ -50,11 +56,12 @@
             scan_busy: false,
             scan_after: String::new(),
             scan_revision: None,
-            scan_next: Duration::ZERO,
+            scan_pace: Pace::new(gap, pages),
+            scan_after_pause: Duration::ZERO,
             follow_busy: false,
-            follow_next: Duration::ZERO,
+            follow_pace: steady(),
             barrier_busy: false,
-            barrier_next: Duration::ZERO,
+            barrier_pace: steady(),
             barrier_sent: Duration::ZERO,
             barriers: Vec::new(),
             fresh_at: None,
@@ -89,7 +96,7 @@
         self.load = Load::Reading;
         self.scan_after.clear();
         self.scan_revision = None;
-        self.scan_next = now + self.gap;
+        self.scan_after_pause = now + self.gap;
         self.barriers.clear();
     }
 }
@@ -103,7 +110,7 @@
     #[test]
     fn freshness_dates_from_the_sending_of_the_read() {
         let s = Duration::from_secs;
-        let mut session = Session::new(s(4), s(1));
+        let mut session = Session::new(s(4), s(1), 1.0);
         session.barriers = vec![(10, s(5)), (12, s(6))];
         session.reached(11);
         assert_eq!(session.staleness(s(9)), Some(s(4)));
--- a/src/links/table.rs
+++ b/src/links/table.rs
@@ -15,7 +15,7 @@
 const SUSPECT: f64 = 3.0;
 /// An echo may be this many beats old, and the news still counts as new.
 const ECHO_BEATS: f64 = 2.5;
-/// So many of our own beats are remembered.
+/// So many of our own beats are remembered, and so many earlier processes of a peer.
 const REMEMBERED: usize = 64;
 
 /// What one other controller said last.
@@ -25,6 +25,8 @@
     /// When its last beat came.
     pub at: Duration,
     incarnation: u64,
+    /// Processes of its name that ended before this one.
+    past: VecDeque<u64>,
     seq: u64,
     /// How old its view of the store was.
     pub stale: Duration,
@@ -87,6 +89,7 @@
             arrivals: Arrivals::new(every),
             at: now,
             incarnation: beat.incarnation,
+            past: VecDeque::new(),
             seq: 0,
             stale: Duration::MAX,
             heard: HashMap::new(),
@@ -99,6 +102,15 @@
         if p.incarnation == beat.incarnation && beat.seq <= p.seq {
             return; // held back, and overtaken over a newer connection
         }
+        if p.incarnation != beat.incarnation {
+            if p.past.contains(&beat.incarnation) {
+                return; // the last word of a process whose successor spoke already
+            }
+            p.past.push_back(p.incarnation);
+            if p.past.len() > REMEMBERED {
+                p.past.pop_front();
+            }
+        }
         p.arrivals.arrived(now);
         (p.at, p.incarnation, p.seq) = (now, beat.incarnation, beat.seq);
         p.stale = Duration::from_millis(beat.stale_ms);
@@ -273,6 +285,25 @@
         assert_eq!((echoes[0].seq, echoes[0].incarnation), (8, 9));
     }
 
+    /// A process was back within 50 ms, and the last beat of the one before it came
+    /// after its first: what it said was taken for news, and its successor was told
+    /// that we hear nobody of its name.
+    #[test]
+    fn the_last_word_of_an_ended_process_changes_nothing() {
+        let mut l = links();
+        let (n, _) = l.send(s(1.0));
+        let of = |incarnation, seq, host| Beat { incarnation, ..beat(seq, Some(n), &[(host, 0)], Some(7)) };
+        l.receive("a", &of(9, 40, "host-1"), s(1.1));
+        l.receive("a", &of(10, 1, "host-2"), s(1.2));
+        l.receive("a", &of(9, 41, "host-1"), s(1.3));
+        assert!(l.heard_at("a", "host-2").is_some() && l.heard_at("a", "host-1").is_none());
+        let (_, echoes) = l.send(s(2.0));
+        assert_eq!((echoes[0].incarnation, echoes[0].seq), (10, 1));
+        l.receive("a", &of(11, 1, "host-3"), s(2.2));
+        l.receive("a", &of(10, 2, "host-2"), s(2.3));
+        assert!(l.heard_at("a", "host-3").is_some());
+    }
+
     /// A controller that the store alone refuses went on answering its machines for
     /// as long as it might, while their new owner waited for them.
     #[test]
