Campaigns: machines emptied in waves, replicas moved within a budget for each team

Need: machines have to be emptied and replaced while people use what runs there, and no team may notice more than it agreed to, whatever else fails meanwhile. Replicas were moved only on the cloud's notice.

Change: src/upkeep (pure) decides the next wave and tickets from budgets, what is away by failures, and the record; the leader writes record and marks in one transaction, owners stop what has a ticket once it can start elsewhere. Operator's file: budget and campaign blocks; off without (deploy/service.toml unchanged).

Measured, bench-free: a zone of ten machines replaced under sixty replicas with two away at the most, with twelve restarts of all in between, with machines cut in between, withdrawn in the middle, with a budget of nothing; the guard (what is left of a budget) broken once: all five tests fail.

--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -4,8 +4,10 @@
 pub mod aims;
 pub mod records;
 pub mod segment;
+pub mod served;
 
 use crate::protocol::user::{Form, JobSpec, Status, TASKS_LIMIT};
+use crate::upkeep::campaign::UpkeepRec;
 use ciborium::Value;
 use records::*;
 use segment::{Facts, SegmentRec};
@@ -244,6 +246,7 @@
     pub lead: Option<Versioned<LeadRec>>,
     pub term: Option<Versioned<TermRec>>,
     pub catalog: Option<Versioned<CatalogRec>>,
+    pub upkeep: Option<Versioned<UpkeepRec>>,
     pub packs: Versions<PackRec>,
     /// Grants of whole blocks, by member.
     pub blocks: Versions<BlockRec>,
@@ -326,6 +329,7 @@
             }
             Some(Key::Packs) => self.packs_version = version.max(self.packs_version),
             Some(Key::Catalog) => keep(&mut self.catalog, data, version),
+            Some(Key::Upkeep) => keep(&mut self.upkeep, data, version),
             Some(Key::Team(name)) => keep_named(&mut self.teams, name, data, version),
             Some(Key::Job(uid)) => {
                 if let Some(rec) = from_value(data) {
@@ -581,7 +585,14 @@
             }
             // Jobs are never deleted, and chunks only with their job's end.
             Some(
-                Key::Job(_) | Key::Chunk(..) | Key::Log(..) | Key::Team(_) | Key::Packs | Key::Catalog | Key::Block(_),
+                Key::Job(_)
+                | Key::Chunk(..)
+                | Key::Log(..)
+                | Key::Team(_)
+                | Key::Packs
+                | Key::Catalog
+                | Key::Upkeep
+                | Key::Block(_),
             )
             | None => {}
         }
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -20,6 +20,9 @@
 /// cloud does not answer. The leader alone writes it.
 pub const CATALOG_KEY: &str = "fq/catalog";
 
+/// How far a campaign has come (`upkeep::campaign`). The leader alone writes it.
+pub const UPKEEP_KEY: &str = "fq/upkeep";
+
 /// Where the records of teams lie.
 pub const TEAMS: &str = "fq/q/";
 
@@ -242,6 +245,7 @@
     Lead,
     Packs,
     Catalog,
+    Upkeep,
     Member(&'a str),
     Block(&'a str),
     Job(&'a str),
@@ -258,6 +262,7 @@
         LEAD_KEY => return Some(Key::Lead),
         PACKS_KEY => return Some(Key::Packs),
         CATALOG_KEY => return Some(Key::Catalog),
+        UPKEEP_KEY => return Some(Key::Upkeep),
         _ => {}
     }
     let (kind, rest) = key.strip_prefix(PREFIX)?.split_once('/')?;
--- a/src/controller/commit.rs
+++ b/src/controller/commit.rs
@@ -32,6 +32,8 @@
     Limit,
     /// What the cloud offers.
     Catalog,
+    /// A campaign goes on.
+    Upkeep,
 }
 
 impl Why {
@@ -49,6 +51,7 @@
             Why::Relet => "relet",
             Why::Mark => "mark",
             Why::Catalog => "catalog",
+            Why::Upkeep => "upkeep",
             Why::Forget => "forget",
             Why::Limit => "limit",
         }
--- a/src/controller/fleet.rs
+++ b/src/controller/fleet.rs
@@ -305,11 +305,15 @@
         let all_saved = !thrift && self.aims.behind();
         let boot = self.types.iter().map(|t| t.startup_s).fold(f64::MAX, f64::min);
         let (mut services, mut arrays) = (Vec::new(), Vec::new());
+        let leaving = self.leaving();
         let mut run = (0.0, 0.0);
         let mut spare: BTreeMap<&str, (&JobSpec, u32)> = BTreeMap::new();
         let soon = |spec: &JobSpec| spec.form == Form::Standing && self.aims.start_within(spec).is_some();
         for j in self.view.jobs.values().filter(|j| !j.withdrawn()) {
             let mut n = j.waiting_count();
+            if j.spec.form == Form::Standing {
+                n += leaving.get(j.spec.uid.as_str()).copied().unwrap_or(0);
+            }
             // A machine rented now does not save a job that will be late all
             // the same: it makes do with less, unless aims are missed and
             // machines are cheap beside what stands there.
@@ -530,29 +534,35 @@
 
     /// Marks machines of one pack.
     fn mark_drain(&mut self, pack: &str, names: &[String], drain: bool) -> bool {
-        let key = records::pack_key(pack);
-        let Some(p) = self.view.packs.get(pack).filter(|_| !self.busy.contains(&key)) else { return false };
+        let Some((cond, op)) = self.marked_pack(pack, names, drain) else { return false };
         tracing::debug!(machines = ?names, drain, "machines marked");
+        let txn = Txn { conds: vec![self.lead_cond(), cond], ops: vec![op] };
+        self.txn_keyed(txn, Why::Mark);
+        true
+    }
+
+    /// The change that marks machines of one pack; none while another is under way.
+    pub(super) fn marked_pack(&self, pack: &str, names: &[String], drain: bool) -> Option<(Cond, Op)> {
+        let key = records::pack_key(pack);
+        let p = self.view.packs.get(pack).filter(|_| !self.busy.contains(&key))?;
         let mut rec = self.view.in_force(p);
         rec.drain.retain(|m| !names.contains(m));
         if drain {
             rec.drain.extend_from_slice(names);
         }
-        let txn = Txn {
-            conds: vec![self.lead_cond(), Cond { key: key.clone(), entry_no: p.version }],
-            ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
-        };
-        self.txn_keyed(txn, Why::Mark);
-        true
+        let cond = Cond { key: key.clone(), entry_no: p.version };
+        Some((cond, Op::Put { key, data: records::to_value(&rec), lease: None }))
     }
 
     /// Machines of a kind, in one pack, that are being drained and not released yet.
     fn draining(&self, offer: &Offer) -> Option<(String, Vec<String>)> {
+        let campaign = |m: &String| self.view.upkeep.as_ref().is_some_and(|u| u.rec.wave.contains(m));
         let same = |p: &PackRec| p.build == offer.build && p.site == offer.site && p.spot == offer.spot;
         let mut packs =
             self.view.packs.iter().filter(|(_, p)| !p.rec.drain.is_empty() && same(&p.rec) && self.view.held(p));
         packs.find_map(|(pack, p)| {
-            let kept: Vec<String> = p.rec.drain.iter().filter(|m| self.view.placed.contains_key(*m)).cloned().collect();
+            let kept: Vec<String> =
+                p.rec.drain.iter().filter(|m| self.view.placed.contains_key(*m) && !campaign(m)).cloned().collect();
             let free = !self.busy.contains(&records::pack_key(pack));
             (free && !kept.is_empty()).then(|| (pack.clone(), kept))
         })
--- a/src/controller/lead.rs
+++ b/src/controller/lead.rs
@@ -27,6 +27,7 @@
         if now >= self.relet_next {
             self.relet_next = now + self.report_s(0.25);
             self.relet();
+            self.upkeep_tick();
         }
         self.fleet_tick();
     }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -16,10 +16,12 @@
 mod segments;
 mod start;
 mod sync;
+mod upkeep;
 mod work;
 
 use crate::bookkeeping::aims::Aims;
 use crate::bookkeeping::records::{self, Versioned};
+use crate::bookkeeping::served::{self, Served};
 use crate::bookkeeping::{Amounts, Images, View};
 use crate::coordination::log::Writer;
 use crate::coordination::machine::Machine;
@@ -36,6 +38,7 @@
 use crate::recovery::phase::Start;
 use crate::retry::{Outcome, Purpose as Retry, Retries, Returns};
 use crate::settings::Settings;
+use crate::upkeep::campaign::{Ticket, Wait};
 use commit::{Bucket, Why, Writes};
 use hdrhistogram::Histogram;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -270,6 +273,7 @@
     owners_seen: Option<u64>,
     sack: Knapsack,
     aims: Aims,
+    served: Served,
     /// When the first machine was seen, by the time of day.
     fleet_since_ms: Option<u64>,
     /// It was seen only after a boot time: the fleet began with nothing.
@@ -321,6 +325,12 @@
     pressed_at: Option<Instant>,
     /// Releases that got no answer yet, and those that did: nothing is left there.
     releasing: BTreeSet<String>,
+    /// Tickets whose replica was placed elsewhere, and since when.
+    settling: BTreeMap<Ticket, Instant>,
+    /// Tickets for machines of ours, and since when they are known.
+    ticketed: BTreeMap<Ticket, Instant>,
+    /// What the campaign waited for when it was last told.
+    upkeep_wait: Option<Wait>,
     gone: BTreeSet<String>,
     release_tokens: f64,
     release_at: Instant,
@@ -395,6 +405,7 @@
             owners_seen: None,
             sack: Knapsack::default(),
             aims: Aims::new(p.objectives.clone()),
+            served: Served::default(),
             fleet_since_ms: None,
             fleet_cold: false,
             led_since: None,
@@ -431,6 +442,9 @@
             slack: VecDeque::new(),
             pressed_at: None,
             releasing: BTreeSet::new(),
+            settling: BTreeMap::new(),
+            ticketed: BTreeMap::new(),
+            upkeep_wait: None,
             gone: BTreeSet::new(),
             release_tokens: 1.0,
             release_at: Duration::ZERO,
@@ -548,6 +562,13 @@
             behind = self.aims.behind(),
             "cluster"
         );
+        for (who, t) in self.served.tallies(self.view.jobs.values()) {
+            let served::Tally { judged, in_time, live, untouched, replicas, placed } = t;
+            tracing::debug!(?who, judged, in_time, live, untouched, replicas, placed, "served");
+            if let Some(share) = t.least_share().filter(|s| *s < served::HALF) {
+                tracing::warn!(?who, share, judged, in_time, live, untouched, replicas, placed, "hardly served");
+            }
+        }
     }
 
     fn secs(&self, s: f64) -> Duration {
@@ -631,12 +652,15 @@
     }
 
     fn note_end(&mut self, spec: &crate::protocol::user::JobSpec, at_ms: u64) {
+        let took_s = self.wall_ms().saturating_sub(at_ms) as f64 / 1000.0;
+        if let Some(aim_s) = self.aims.end_within(spec) {
+            self.served.note(spec, took_s <= aim_s);
+        }
         // What came while the first machines were still to boot says nothing
         // of their number.
         let boot_ms = self.types.iter().map(|t| t.startup_s * 1000.0).fold(0.0, f64::max) as u64;
         let boot_ms = if self.fleet_cold { boot_ms } else { 0 };
         if self.fleet_since_ms.is_some_and(|t| at_ms >= t + boot_ms) {
-            let took_s = self.wall_ms().saturating_sub(at_ms) as f64 / 1000.0;
             self.aims.note_end(spec, took_s);
         }
     }
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -6,7 +6,7 @@
 use crate::bookkeeping::{Job, Placements};
 use crate::fleet::given_up_after_s;
 use crate::links::account::{Group, Silence, of_silence};
-use crate::placement::{Room, zone_room};
+use crate::placement::Room;
 use crate::protocol::cloud::{RELEASE, RELEASE_LIMIT, Release};
 use crate::protocol::encode;
 use crate::protocol::user::Form;
@@ -311,6 +311,7 @@
             return;
         }
         self.drain_recalled();
+        self.move_ticketed();
         self.release_silent();
         self.clear_empty();
     }
@@ -333,17 +334,7 @@
                 match (j.spec.form, j.spec.saves_in()) {
                     (Form::Standing, _) => {
                         let rooms = rooms.get_or_insert_with(|| self.rooms(false).into_iter().map(|r| r.1).collect());
-                        let site = self.view.hosts.get(name).map(|h| h.rec.site.as_str());
-                        let mut zones = self.view.zones_of(j);
-                        if let Some(n) = site.and_then(|s| zones.get_mut(s)) {
-                            *n -= 1;
-                        }
-                        let takes = |r: &&mut Room| {
-                            let free = zone_room(&j.spec, j.spec.parcels, &zones, &r.site) > 0;
-                            free && r.fits(&j.spec) > 0 && r.image_s(&j.spec) <= 0.0
-                        };
-                        if let Some(room) = rooms.iter_mut().find(takes) {
-                            room.take(&j.spec, 1);
+                        if self.takes_elsewhere(rooms, name, j, true) {
                             stops.push((name.clone(), key, 0.0));
                         }
                     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod retry;
 pub mod settings;
 pub mod transport;
+pub mod upkeep;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -2,7 +2,10 @@
 //! own settings on top of it (HCL). This module owns reading and judging both;
 //! the rest of the program sees only values that passed.
 
+use crate::upkeep::budget::Budget;
+use crate::upkeep::campaign::Campaign;
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use thiserror::Error;
@@ -132,6 +135,10 @@
     pub silent_reports: f64,
     /// Free room kept for services, as a share of what services use.
     pub spare_share: f64,
+    /// What each team agreed to miss while machines are emptied on purpose.
+    pub budget: BTreeMap<String, Budget>,
+    /// Machines to be emptied and returned, one campaign after the other by name.
+    pub campaign: BTreeMap<String, Campaign>,
 }
 
 impl Default for Operator {
@@ -144,6 +151,8 @@
             late_boots: 3.0,
             silent_reports: 2.5,
             spare_share: 0.15,
+            budget: BTreeMap::new(),
+            campaign: BTreeMap::new(),
         }
     }
 }
@@ -156,6 +165,10 @@
             s.operator = hcl::from_str(&read(file)?)
                 .map_err(|e| SettingsError::Parse { file: file.into(), what: one_line(&e.to_string()) })?;
             s.operator.judge(file)?;
+            for team in s.operator.budget.keys() {
+                let known = s.settings.teams.iter().any(|t| t.name == *team);
+                check(file, &format!("budget.{team}"), known, "no such team")?;
+            }
         }
         Ok(s)
     }
@@ -234,6 +247,15 @@
         for (field, v) in positive {
             check(file, field, v.is_finite() && v > 0.0, "must be above 0")?;
         }
+        for (team, b) in &self.budget {
+            let field = format!("budget.{team}.share");
+            check(file, &field, (0.0..=1.0).contains(&b.share), "is a share, from 0 to 1")?;
+        }
+        for (name, c) in &self.campaign {
+            check(file, "campaign", !name.is_empty(), "needs a name")?;
+            let field = format!("campaign.{name}");
+            check(file, &field, c.first > 0 && c.wave >= c.first, "first must be above 0 and wave not below it")?;
+        }
         check(file, "spare_share", self.spare_share.is_finite() && self.spare_share >= 0.0, "must not be negative")
     }
 }
@@ -324,6 +346,13 @@
         let read = |t: &str| hcl::from_str::<Operator>(t).map_err(|e| e.to_string());
         assert_eq!(read("window = 100").unwrap().window, 100);
         assert!(read("windows = 100").unwrap_err().contains("windows"));
+        let plan = "budget \"t\" { away = 2 }\ncampaign \"b\" { build = \"std\" }\ncampaign \"a\" { spot = true }";
+        let plan = read(plan).unwrap();
+        assert_eq!((plan.budget["t"].away, plan.campaign.len(), plan.campaign["b"].wave), (2, 2, 8));
+        let refused = |t: &str| read(t).unwrap().judge(Path::new("o.hcl")).unwrap_err().to_string();
+        assert!(refused("budget \"t\" { share = 1.5 }").contains("o.hcl: budget.t.share"));
+        assert!(refused("campaign \"a\" { first = 9 }").contains("o.hcl: campaign.a"));
+        assert!(read("campaign \"a\" { zone = \"x\" }").unwrap_err().contains("zone"));
         let bad = read("step_mb = -1").unwrap().judge(Path::new("o.hcl")).unwrap_err();
         assert!(bad.to_string().contains("o.hcl: step_mb"));
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -5,6 +5,7 @@
 mod log;
 mod recovery;
 mod restarts;
+mod upkeep;
 mod world;
 
 use rand::RngExt;
--- /dev/null
+++ b/tests/upkeep/mod.rs
@@ -0,0 +1,144 @@
+//! Machines are emptied in waves while services run on them, with failures in between:
+//! no team misses more replicas on purpose than its budget leaves, and campaigns end.
+
+use crate::recovery::seeds;
+use crate::running;
+use crate::world::{SMALL, Size, World, array, s, service};
+use finchquay::settings::Operator;
+use finchquay::upkeep::budget::Budget;
+use finchquay::upkeep::campaign::Campaign;
+use rand::RngExt;
+
+const REPLICAS: usize = 60;
+const AWAY: usize = 2;
+
+fn operator(away: u32) -> Operator {
+    let mut o = Operator::default();
+    o.budget.insert("free".into(), Budget { away, share: 0.0 });
+    let campaign = Campaign { site: Some("a".into()), wave: 4, ..Campaign::default() };
+    o.campaign.insert("hall-a".into(), campaign);
+    o
+}
+
+/// Twenty machines in two zones with sixty replicas; the file with the campaign is
+/// read when all controllers are restarted, at 30 s.
+fn fleet(seed: u64, away: u32) -> World {
+    let size = Size { controllers: 3, machines: 20, write_rps: 60.0, zones: &["a", "b"], ..SMALL };
+    let mut w = World::sized(seed, size);
+    w.cloud.most = 40;
+    w.restart_s = 0.05;
+    w.submit("run-009", service(REPLICAS as u32));
+    w.run_until(30.0);
+    assert_eq!(running(&w, "run-009"), REPLICAS);
+    w.operator = operator(away);
+    (0..3).for_each(|i| w.crash(i));
+    w
+}
+
+fn kills(w: &World) -> usize {
+    w.workers.values().map(|x| x.kills.len()).sum()
+}
+
+/// Machines that were there at the start and belong to the zone.
+fn old(w: &World) -> usize {
+    w.workers.values().filter(|x| x.site == "a" && x.name.as_str() < "host-000020").count()
+}
+
+/// Plays on in small steps; whenever a replica is stopped, no more than the budget may
+/// be away by then, failures included.
+fn watch(w: &mut World, until_s: f64, allowed: usize) -> usize {
+    let mut least = REPLICAS;
+    while w.now < s(until_s) {
+        let (before, then) = (kills(w), running(w, "run-009"));
+        let t = w.now.as_secs_f64() + 0.1;
+        w.run_until(t);
+        let stopped = kills(w).saturating_sub(before);
+        let runs = running(w, "run-009");
+        assert!(
+            stopped == 0 || then + allowed >= REPLICAS + stopped.min(then.saturating_sub(runs)),
+            "seed {}, {t:.1} s: {stopped} stopped, {then} ran before",
+            w.seed
+        );
+        least = least.min(runs);
+    }
+    least
+}
+
+#[test]
+fn a_zone_is_replaced_within_the_budget() {
+    let mut w = fleet(8000, AWAY as u32);
+    assert_eq!(old(&w), 10);
+    let least = watch(&mut w, 330.0, AWAY);
+    assert_eq!(old(&w), 0, "machines are left");
+    assert!(least >= REPLICAS - AWAY, "only {least} ran");
+    assert_eq!(running(&w, "run-009"), REPLICAS);
+}
+
+/// All controllers end and are back at once, again and again, between ticket, kill and
+/// proof: tickets are in the store, so none is spent twice, and the campaign ends.
+#[test]
+fn restarts_in_the_middle_spend_nothing_twice() {
+    for seed in 0..seeds(3) {
+        let mut w = fleet(8100 + seed, AWAY as u32);
+        for n in 0..12 {
+            let at = 36.0 + 11.0 * f64::from(n) + w.rng.random_range(0.0..8.0);
+            w.later(at, |w| (0..3).for_each(|i| w.crash(i)));
+        }
+        let least = watch(&mut w, 420.0, AWAY);
+        assert!(least >= REPLICAS - AWAY, "seed {seed}: only {least} ran");
+        assert_eq!((old(&w), running(&w, "run-009")), (0, REPLICAS), "seed {seed}");
+    }
+}
+
+/// Machines fall silent while others are emptied: what that costs counts first, and
+/// nothing is stopped on purpose until it runs again.
+#[test]
+fn failures_use_up_the_budget_first() {
+    for seed in 0..seeds(4) {
+        let mut w = fleet(8200 + seed, AWAY as u32);
+        for n in 0..6 {
+            let at = 40.0 + 20.0 * f64::from(n) + w.rng.random_range(0.0..10.0);
+            let which = w.rng.random_range(0..15);
+            let comes_back = n % 2 == 0;
+            w.later(at, move |w| {
+                let Some(name) = w.workers.keys().nth(which).cloned() else { return };
+                w.cut_worker(&name, true);
+                if comes_back {
+                    w.later(at + 9.0, move |w| w.cut_worker(&name, false));
+                }
+            });
+        }
+        w.later(60.0, |w| w.submit("run-001", array(40, 4.0)));
+        watch(&mut w, 500.0, AWAY + 8);
+        assert_eq!((old(&w), running(&w, "run-009")), (0, REPLICAS), "seed {seed}");
+        assert!(w.jobs["run-001"].told_done, "seed {seed}");
+    }
+}
+
+/// The campaign is taken out of the file in the middle: machines that are half empty
+/// take work again, and none goes any more.
+#[test]
+fn a_campaign_that_is_withdrawn_leaves_no_machine_shut() {
+    let mut w = fleet(8300, 1);
+    w.operator.campaign.get_mut("hall-a").unwrap().wave = 1;
+    watch(&mut w, 38.0, 1);
+    assert!(old(&w) > 2, "it was over too soon to tell");
+    w.operator = Operator::default();
+    (0..3).for_each(|i| w.crash(i));
+    w.run_until(60.0);
+    let left = old(&w);
+    let stopped = kills(&w);
+    w.submit("run-109", service(40));
+    w.run_until(95.0);
+    assert_eq!((old(&w), kills(&w)), (left, stopped));
+    assert_eq!(running(&w, "run-009") + running(&w, "run-109"), REPLICAS + 40);
+}
+
+/// A team that agreed to miss nothing is never stopped on purpose.
+#[test]
+fn a_budget_of_nothing_is_kept() {
+    let mut w = fleet(8400, 0);
+    let least = watch(&mut w, 150.0, 0);
+    assert_eq!((least, kills(&w)), (REPLICAS, 0));
+    assert!(old(&w) > 0);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -10,7 +10,7 @@
 use cloud::Cloud;
 use finchquay::controller::Controller;
 use finchquay::effects::{Action, Event, NoAnswer, Reply, Target};
-use finchquay::settings::Settings;
+use finchquay::settings::{Operator, Settings};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -126,6 +126,8 @@
     pending: BTreeMap<u64, Pending>,
     next_conn: u64,
     starts: BTreeMap<usize, Duration>,
+    /// The operator's file, read by each process as it starts.
+    pub operator: Operator,
     pub restart_s: f64,
     /// Where set, restarts take a time drawn from this, in seconds, instead.
     pub restart_between: Option<(f64, f64)>,
@@ -212,6 +214,7 @@
             pending: BTreeMap::new(),
             next_conn: 1,
             starts: BTreeMap::new(),
+            operator: Operator::default(),
             restart_s: 3.0,
             restart_between: None,
             frail_until: Duration::ZERO,
@@ -244,7 +247,8 @@
     fn boot(&mut self, i: usize) {
         let incarnation = self.rng.random();
         self.nodes[i].life += 1;
-        let c = Controller::new(settings(i, self.size), incarnation, self.now + s(1e9));
+        let set = Settings { operator: self.operator.clone(), ..settings(i, self.size) };
+        let c = Controller::new(set, incarnation, self.now + s(1e9));
         self.nodes[i].logic = Some(c);
         // The controller's clock starts with the process.
         self.starts.insert(i, self.now);
