--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -473,6 +473,14 @@
                 self.probe(&beat.asks);
             }
             Event::Peer { frame: Frame::Hello { .. }, .. } => {}
+            Event::Operator(operator) => {
+                tracing::info!(
+                    budgets = operator.budget.len(),
+                    campaigns = operator.campaign.len(),
+                    "operator's file is taken over"
+                );
+                self.set.operator = *operator;
+            }
             Event::Tick => self.tick(),
         }
         if self.dirty && self.now >= self.schedule_next {
--- a/src/controller/sync.rs
+++ b/src/controller/sync.rs
@@ -42,7 +42,7 @@
     /// Reads the next page of the stored state.
     fn load_tick(&mut self) {
         let now = self.now;
-        let due = now >= self.ses.scan_after_pause && self.ses.scan_pace.may(now);
+        let due = now >= self.ses.load_not_before && self.ses.scan_pace.may(now);
         if self.ses.scan_busy || !due || !self.retry.may(Retry::Load, now) {
             return;
         }
--- a/src/controller/upkeep.rs
+++ b/src/controller/upkeep.rs
@@ -17,16 +17,18 @@
 const TICKETS: usize = 16;
 
 impl Controller {
-    /// The campaign that is under way, or the next one.
-    fn campaign(&self) -> Option<(&String, &Campaign)> {
-        let over = self.view.upkeep.as_ref().map(|u| &u.rec.finished);
-        self.set.operator.campaign.iter().find(|(name, _)| over.is_none_or(|f| !f.contains(name)))
+    /// The campaign that is under way, or the next one; one that comes into the file with
+    /// an earlier name waits for it.
+    fn campaign(&self, rec: &UpkeepRec) -> Option<(&String, &Campaign)> {
+        let all = &self.set.operator.campaign;
+        let open = || all.iter().find(|(name, _)| !rec.finished.contains(name));
+        all.get_key_value(&rec.name).or_else(open)
     }
 
     /// By the leader: begins campaigns, waves and moves as budgets allow.
     pub(super) fn upkeep_tick(&mut self) {
         let stored = self.view.upkeep.as_ref().map(|u| u.rec.clone()).unwrap_or_default();
-        let campaign = self.campaign().map(|(name, c)| (name.clone(), c.clone()));
+        let campaign = self.campaign(&stored).map(|(name, c)| (name.clone(), c.clone()));
         let idle = stored.name.is_empty() && stored.wave.is_empty();
         if idle && campaign.is_none()
             || !self.start.fleet_known()
--- a/src/coordination/session.rs
+++ b/src/coordination/session.rs
@@ -27,7 +27,7 @@
     pub scan_revision: Option<u64>,
     pub scan_pace: Pace,
     /// A load that begins anew waits until then.
-    pub scan_after_pause: Instant,
+    pub load_not_before: Instant,
     pub follow_busy: bool,
     pub follow_pace: Pace,
     pub barrier_busy: bool,
@@ -57,7 +57,7 @@
             scan_after: String::new(),
             scan_revision: None,
             scan_pace: Pace::new(gap, pages),
-            scan_after_pause: Duration::ZERO,
+            load_not_before: Duration::ZERO,
             follow_busy: false,
             follow_pace: steady(),
             barrier_busy: false,
@@ -96,7 +96,7 @@
         self.load = Load::Reading;
         self.scan_after.clear();
         self.scan_revision = None;
-        self.scan_after_pause = now + self.gap;
+        self.load_not_before = now + self.gap;
         self.barriers.clear();
     }
 }
--- a/src/effects.rs
+++ b/src/effects.rs
@@ -2,6 +2,7 @@
 //! actions out. The logic never touches a socket or a clock.
 
 use crate::protocol::peer::Frame;
+use crate::settings::Operator;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -55,8 +56,21 @@
 
 #[derive(Debug)]
 pub enum Event {
-    Request { conn: ConnId, method: String, path: String, body: Vec<u8> },
-    Answer { id: CallId, result: Result<Reply, NoAnswer> },
-    Peer { member: String, frame: Frame },
+    Request {
+        conn: ConnId,
+        method: String,
+        path: String,
+        body: Vec<u8>,
+    },
+    Answer {
+        id: CallId,
+        result: Result<Reply, NoAnswer>,
+    },
+    Peer {
+        member: String,
+        frame: Frame,
+    },
+    /// The operator's file has changed, and is good.
+    Operator(Box<Operator>),
     Tick,
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -41,7 +41,7 @@
         .with_ansi(false)
         .without_time()
         .init();
-    match finchquay::transport::run(settings) {
+    match finchquay::transport::run(settings, args.operator) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             tracing::error!(error = %e, "controller ends");
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -162,13 +162,7 @@
     pub fn load(config: &Path, operator: Option<&Path>) -> Result<Settings, SettingsError> {
         let mut s = Settings::parse(&read(config)?, config)?;
         if let Some(file) = operator {
-            s.operator = hcl::from_str(&read(file)?)
-                .map_err(|e| SettingsError::Parse { file: file.into(), what: one_line(&e.to_string()) })?;
-            s.operator.judge(file)?;
-            for team in s.operator.budget.keys() {
-                let known = s.settings.teams.iter().any(|t| t.name == *team);
-                check(file, &format!("budget.{team}"), known, "no such team")?;
-            }
+            s.operator = Operator::load(file, &s.settings.teams)?;
         }
         Ok(s)
     }
@@ -235,6 +229,18 @@
 }
 
 impl Operator {
+    /// Reads and judges an operator's file, for these teams.
+    pub fn load(file: &Path, teams: &[Team]) -> Result<Operator, SettingsError> {
+        let o: Operator = hcl::from_str(&read(file)?)
+            .map_err(|e| SettingsError::Parse { file: file.into(), what: one_line(&e.to_string()) })?;
+        o.judge(file)?;
+        for team in o.budget.keys() {
+            let known = teams.iter().any(|t| t.name == *team);
+            check(file, &format!("budget.{team}"), known, "no such team")?;
+        }
+        Ok(o)
+    }
+
     fn judge(&self, file: &Path) -> Result<(), SettingsError> {
         let positive = [
             ("wait_limit_s", self.wait_limit_s),
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -7,14 +7,15 @@
 use crate::controller::Controller;
 use crate::effects::{Action, CallId, ConnId, Event, Instant, NoAnswer, Reply, Target};
 use crate::protocol::{BODY_LIMIT, peer};
-use crate::settings::Settings;
+use crate::settings::{Operator, Settings, Team};
 use http::Parsed;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::path::PathBuf;
+use std::time::{Duration, SystemTime};
 
 const USERS: Token = Token(0);
 const PEERS: Token = Token(1);
@@ -85,8 +86,47 @@
     events: VecDeque<Event>,
 }
 
-/// Runs a controller until the process is killed.
-pub fn run(settings: Settings) -> io::Result<()> {
+/// The operator's file, looked at again now and then while the process runs.
+struct Watched {
+    file: PathBuf,
+    teams: Vec<Team>,
+    /// What it looked like when it was last read: when written, and how long.
+    seen: Option<(SystemTime, u64)>,
+    next: Instant,
+    every: Duration,
+}
+
+impl Watched {
+    fn looks(&self) -> Option<(SystemTime, u64)> {
+        let m = std::fs::metadata(&self.file).ok()?;
+        Some((m.modified().ok()?, m.len()))
+    }
+
+    /// The settings, if the file has changed and is good. With a bad or missing one
+    /// what was read before goes on.
+    fn look(&mut self, now: Instant) -> Option<Operator> {
+        if now < self.next {
+            return None;
+        }
+        self.next = now + self.every;
+        let looks = self.looks();
+        if looks == self.seen {
+            return None;
+        }
+        self.seen = looks;
+        match Operator::load(&self.file, &self.teams) {
+            Ok(operator) => Some(operator),
+            Err(e) => {
+                tracing::error!(error = %e, "operator's file is refused, what was read before goes on");
+                None
+            }
+        }
+    }
+}
+
+/// Runs a controller until the process is killed; `operator` is read again when it
+/// changes.
+pub fn run(settings: Settings, operator: Option<PathBuf>) -> io::Result<()> {
     let mut users = TcpListener::bind(settings.public_addr)?;
     let mut peers = TcpListener::bind(settings.peer_bind)?;
     let poll = Poll::new()?;
@@ -95,6 +135,13 @@
     let workers = &settings.settings.workers;
     let limits = &settings.settings.machine_limits;
     let tick = Duration::from_secs_f64((workers.report_s / 100.0).clamp(0.01, 0.05));
+    let mut watched = operator.map(|file| {
+        let every = Duration::from_secs_f64(workers.report_s);
+        let teams = settings.settings.teams.clone();
+        let mut w = Watched { file, teams, seen: None, next: every, every };
+        w.seen = w.looks();
+        w
+    });
     tracing::info!(member = %settings.member, others = settings.others.len(), "controller starts");
     let mut net = Net {
         poll,
@@ -147,6 +194,9 @@
             next_tick = now + tick;
             net.expire();
             net.dial_peers();
+            if let Some(operator) = watched.as_mut().and_then(|w| w.look(now)) {
+                net.events.push_back(Event::Operator(Box::new(operator)));
+            }
             net.events.push_back(Event::Tick);
         }
         while let Some(event) = net.events.pop_front() {
@@ -569,3 +619,31 @@
         self.queue = waiting;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A typing error in the operator's file must not end the campaign that it states,
+    /// nor the process.
+    #[test]
+    fn a_bad_file_leaves_the_old_one_in_force() {
+        let dir = tempfile::tempdir().unwrap();
+        let file = dir.path().join("o.hcl");
+        std::fs::write(&file, "campaign \"a\" {}").unwrap();
+        let every = Duration::from_secs(2);
+        let mut w = Watched { file: file.clone(), teams: Vec::new(), seen: None, next: every, every };
+        w.seen = w.looks();
+        let at = |n: u64| Duration::from_secs(2 * n);
+        assert!(w.look(at(1)).is_none(), "nothing has changed");
+        std::fs::write(&file, "campaign \"a\" { wawe = 3 }").unwrap();
+        assert!(w.look(at(2)).is_none(), "refused");
+        std::fs::write(&file, "budget \"nobody\" {}").unwrap();
+        assert!(w.look(at(3)).is_none(), "no such team");
+        std::fs::write(&file, "campaign \"b\" { wave = 3 }").unwrap();
+        assert!(w.look(at(3)).is_none(), "not looked at yet");
+        assert_eq!(w.look(at(4)).unwrap().campaign["b"].wave, 3);
+        std::fs::remove_file(&file).unwrap();
+        assert!(w.look(at(5)).is_none());
+    }
+}
--- a/tests/exploration.rs
+++ b/tests/exploration.rs
@@ -7,6 +7,7 @@
 use finchquay_explorer::{Failed, explore};
 use models::attest::{Attest, Trust};
 use models::log::{Guards, Log};
+use models::upkeep::{Rests, Upkeep};
 
 fn broken<M: finchquay_explorer::Model>(model: &M) -> String {
     match explore(model, 6_000_000) {
@@ -49,3 +50,17 @@
         println!("without {name}: {}", broken(&Attest { trust }));
     }
 }
+
+#[test]
+fn tickets_are_spent_once() {
+    let found = explore(&Upkeep { rests: Rests::default() }, 6_000_000).unwrap_or_else(|e| panic!("{e}"));
+    println!("tickets: {} states, {} events deep", found.states, found.depth);
+    assert!(found.states > 1_000);
+    for (name, rests) in [
+        ("version", Rests { version: false, ..Rests::default() }),
+        ("counted", Rests { counted: false, ..Rests::default() }),
+        ("settled", Rests { settled: false, ..Rests::default() }),
+    ] {
+        println!("without {name}: {}", broken(&Upkeep { rests }));
+    }
+}
--- a/tests/models/mod.rs
+++ b/tests/models/mod.rs
@@ -1,2 +1,3 @@
 pub mod attest;
 pub mod log;
+pub mod upkeep;
--- /dev/null
+++ b/tests/models/upkeep.rs
@@ -0,0 +1,176 @@
+//! Two processes that each take themselves for the leader, views that lag, writes that
+//! come late and in any order, crashes, and an owner that stops what has a ticket: two
+//! replicas of a team, each on a machine of the wave, and a budget of one. The step is
+//! the real one (`upkeep::campaign::next`); around it stands `controller/upkeep.rs`.
+
+use finchquay::upkeep::budget::{Budget, Standing};
+use finchquay::upkeep::campaign::{Campaign, Candidate, Ticket, UpkeepRec, next};
+use finchquay_explorer::Model;
+use std::collections::BTreeMap;
+
+/// What the account rests on; each can be taken away.
+#[derive(Debug, Clone, Copy)]
+pub struct Rests {
+    /// The record is written on its version.
+    pub version: bool,
+    /// A replica under a ticket counts as away.
+    pub counted: bool,
+    /// A ticket comes back only once its replica has had the time to run.
+    pub settled: bool,
+}
+
+impl Default for Rests {
+    fn default() -> Rests {
+        Rests { version: true, counted: true, settled: true }
+    }
+}
+
+pub struct Upkeep {
+    pub rests: Rests,
+}
+
+const REPLICAS: usize = 2;
+/// Writes under way at a time.
+const FLYING: usize = 2;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+enum Placed {
+    Old,
+    Nowhere,
+    New,
+}
+
+/// The store, or what somebody saw of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct Stored {
+    version: u8,
+    tickets: [bool; REPLICAS],
+    placed: [Placed; REPLICAS],
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct State {
+    stored: Stored,
+    leaders: [Option<Stored>; 2],
+    /// What the owner of the machines saw last.
+    owner: Stored,
+    /// Writes of tickets: on which version, and what.
+    flying: Vec<(u8, [bool; REPLICAS])>,
+    runs: [bool; REPLICAS],
+}
+
+fn ticket(i: usize) -> Ticket {
+    Ticket { job: "run-1".into(), index: i as u32, attempt: 1, machine: format!("m{i}") }
+}
+
+impl Upkeep {
+    /// The tickets that a leader with this view wants written.
+    fn decides(&self, view: &Stored, runs: &[bool; REPLICAS]) -> [bool; REPLICAS] {
+        let mut tickets = view.tickets;
+        for i in 0..REPLICAS {
+            // The time that a start takes stands for its having run.
+            let back = view.placed[i] == Placed::New && (runs[i] || !self.rests.settled);
+            tickets[i] &= !back;
+        }
+        let away = (0..REPLICAS).filter(|i| view.placed[*i] == Placed::Nowhere || self.rests.counted && tickets[*i]);
+        let standing = Standing { wanted: REPLICAS as u32, away: away.count() as u32 };
+        let left: Vec<Candidate> = (0..REPLICAS)
+            .filter(|i| view.placed[*i] == Placed::Old)
+            .map(|i| Candidate {
+                name: format!("m{i}"),
+                standing: vec![(ticket(i), "t".into())],
+                heard: true,
+                ..Candidate::default()
+            })
+            .collect();
+        let rec = UpkeepRec {
+            wave: left.iter().map(|c| c.name.clone()).collect(),
+            tickets: (0..REPLICAS).filter(|i| tickets[*i]).map(ticket).collect(),
+            ..UpkeepRec::default()
+        };
+        let teams = BTreeMap::from([("t".to_string(), standing)]);
+        let step = next(&rec, &Campaign::default(), &left, &teams, |_| Budget { away: 1, share: 0.0 }, REPLICAS);
+        for t in step.tickets {
+            tickets[t.index as usize] = true;
+        }
+        tickets
+    }
+}
+
+impl Model for Upkeep {
+    type State = State;
+
+    fn start(&self) -> State {
+        let stored = Stored { version: 0, tickets: [false; REPLICAS], placed: [Placed::Old; REPLICAS] };
+        State { stored, leaders: [None; 2], owner: stored, flying: Vec::new(), runs: [true; REPLICAS] }
+    }
+
+    fn next(&self, s: &State, out: &mut Vec<(String, State)>) {
+        for (p, leader) in s.leaders.iter().enumerate() {
+            if *leader != Some(s.stored) {
+                let mut n = s.clone();
+                n.leaders[p] = Some(s.stored);
+                out.push((format!("leader {p} sees the store"), n));
+            }
+            let Some(view) = leader else { continue };
+            let mut n = s.clone();
+            n.leaders[p] = None;
+            out.push((format!("leader {p} ends"), n));
+            let wants = self.decides(view, &s.runs);
+            let write = (view.version, wants);
+            if wants != view.tickets && s.flying.len() < FLYING && !s.flying.contains(&write) {
+                let mut n = s.clone();
+                n.flying.push(write);
+                n.flying.sort_unstable();
+                out.push((format!("leader {p} writes {wants:?}"), n));
+            }
+        }
+        for k in 0..s.flying.len() {
+            let mut n = s.clone();
+            let (version, tickets) = n.flying.remove(k);
+            if version == s.stored.version || !self.rests.version {
+                // A replica moves once here, so versions stay few.
+                n.stored.version += 1;
+                n.stored.tickets = tickets;
+            }
+            out.push(("a write arrives".into(), n));
+        }
+        if s.owner != s.stored {
+            let mut n = s.clone();
+            n.owner = s.stored;
+            out.push(("the owner sees the store".into(), n));
+        }
+        for i in 0..REPLICAS {
+            let mut n = s.clone();
+            match s.stored.placed[i] {
+                Placed::Old if s.runs[i] && s.owner.tickets[i] && s.owner.placed[i] == Placed::Old => {
+                    n.runs[i] = false;
+                    out.push((format!("replica {i} is stopped"), n));
+                }
+                Placed::Old if !s.runs[i] => {
+                    n.stored.placed[i] = Placed::Nowhere;
+                    out.push((format!("replica {i} is proved gone"), n));
+                }
+                Placed::Nowhere => {
+                    n.stored.placed[i] = Placed::New;
+                    out.push((format!("replica {i} is placed"), n));
+                }
+                Placed::New if !s.runs[i] => {
+                    n.runs[i] = true;
+                    out.push((format!("replica {i} runs again"), n));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn check(&self, s: &State) -> Result<(), String> {
+        if s.stored.version > 8 {
+            return Err("tickets are written for ever".into());
+        }
+        match s.runs.iter().filter(|r| !**r).count() {
+            0 | 1 => Ok(()),
+            n => Err(format!("{n} replicas are away on a budget of one")),
+        }
+    }
+}
--- a/tests/upkeep/mod.rs
+++ b/tests/upkeep/mod.rs
@@ -2,8 +2,8 @@
 //! no team misses more replicas on purpose than its budget leaves, and campaigns end.
 
 use crate::recovery::seeds;
-use crate::running;
 use crate::world::{SMALL, Size, World, array, s, service};
+use crate::{random_failures, running};
 use finchquay::settings::Operator;
 use finchquay::upkeep::budget::Budget;
 use finchquay::upkeep::campaign::Campaign;
@@ -20,8 +20,7 @@
     o
 }
 
-/// Twenty machines in two zones with sixty replicas; the file with the campaign is
-/// read when all controllers are restarted, at 30 s.
+/// Twenty machines in two zones with sixty replicas; the file gets the campaign at 30 s.
 fn fleet(seed: u64, away: u32) -> World {
     let size = Size { controllers: 3, machines: 20, write_rps: 60.0, zones: &["a", "b"], ..SMALL };
     let mut w = World::sized(seed, size);
@@ -30,8 +29,7 @@
     w.submit("run-009", service(REPLICAS as u32));
     w.run_until(30.0);
     assert_eq!(running(&w, "run-009"), REPLICAS);
-    w.operator = operator(away);
-    (0..3).for_each(|i| w.crash(i));
+    w.operate(operator(away));
     w
 }
 
@@ -120,11 +118,15 @@
 #[test]
 fn a_campaign_that_is_withdrawn_leaves_no_machine_shut() {
     let mut w = fleet(8300, 1);
-    w.operator.campaign.get_mut("hall-a").unwrap().wave = 1;
-    watch(&mut w, 38.0, 1);
-    assert!(old(&w) > 2, "it was over too soon to tell");
-    w.operator = Operator::default();
-    (0..3).for_each(|i| w.crash(i));
+    let mut slow = w.operator.clone();
+    slow.campaign.get_mut("hall-a").unwrap().wave = 1;
+    w.operate(slow);
+    while old(&w) > 7 && w.now < s(60.0) {
+        let t = w.now.as_secs_f64() + 0.5;
+        watch(&mut w, t, 1);
+    }
+    assert!((3..8).contains(&old(&w)), "it did not begin, or was over too soon to tell");
+    w.operate(Operator::default());
     w.run_until(60.0);
     let left = old(&w);
     let stopped = kills(&w);
@@ -134,6 +136,30 @@
     assert_eq!(running(&w, "run-009") + running(&w, "run-109"), REPLICAS + 40);
 }
 
+/// A second campaign with an earlier name comes into the file: it waits for the first,
+/// which is not ended half-way, and then runs itself.
+#[test]
+fn campaigns_run_one_after_the_other() {
+    let mut w = fleet(8600, AWAY as u32);
+    watch(&mut w, 34.0, AWAY);
+    let mut both = w.operator.clone();
+    both.campaign.insert("first-by-name".into(), Campaign { site: Some("b".into()), ..Campaign::default() });
+    assert!("first-by-name" < "hall-a");
+    w.operate(both);
+    let of_b = |w: &World| w.workers.values().filter(|x| x.site == "b" && x.name.as_str() < "host-000020").count();
+    let mut b_while_a = of_b(&w);
+    while old(&w) > 0 && w.now < s(400.0) {
+        let t = w.now.as_secs_f64() + 1.0;
+        watch(&mut w, t, AWAY);
+        b_while_a = of_b(&w);
+    }
+    assert_eq!(old(&w), 0, "the first is over");
+    assert!(b_while_a > 2, "the second did not wait");
+    let least = watch(&mut w, 700.0, AWAY);
+    assert_eq!((of_b(&w), running(&w, "run-009")), (0, REPLICAS));
+    assert!(least >= REPLICAS - AWAY, "only {least} ran");
+}
+
 /// A team that agreed to miss nothing is never stopped on purpose.
 #[test]
 fn a_budget_of_nothing_is_kept() {
@@ -142,3 +168,22 @@
     assert_eq!((least, kills(&w)), (REPLICAS, 0));
     assert!(old(&w) > 0);
 }
+
+/// A campaign over everything, with a team that has a limit, beside all other failures
+/// and restarts from 10 ms up: rules hold at every step, and nothing is left undone.
+#[test]
+fn rules_hold_while_machines_are_replaced() {
+    for seed in 0..seeds(6) {
+        let size = Size { controllers: 5, machines: 24, write_rps: 40.0, zones: &["a", "b"], ..SMALL };
+        let mut w = World::sized(8500 + seed, size);
+        w.cloud.most = 36;
+        w.restart_between = Some((0.01, 1.0));
+        w.frail_until = s(60.0);
+        let all = Campaign { first: 2, wave: 6, ..Campaign::default() };
+        let mut o = Operator::default();
+        o.campaign.insert("all".into(), all);
+        o.budget.insert("capped".into(), Budget { away: 1, share: 0.1 });
+        w.operate(o);
+        random_failures(w, 24, 12, 300.0);
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -685,6 +685,14 @@
         }
     }
 
+    /// The operator's file changes, and each process reads it again.
+    pub fn operate(&mut self, operator: Operator) {
+        self.operator = operator;
+        for i in 0..self.nodes.len() {
+            self.give(i, Event::Operator(Box::new(self.operator.clone())));
+        }
+    }
+
     /// What the load balancer is told by a node.
     pub fn healthy(&mut self, i: usize) -> bool {
         let now = self.now - self.starts.get(&i).copied().unwrap_or_default();
