The leases of one huge job stay within its record

Leases are now as coarse as half a record needs (records::lease_size); smaller jobs are leased as before.

Tests: the_leases_of_the_largest_job_fit_its_record fails without the bound, the_largest_job_begins plays 25,000 tasks on seven controllers.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -302,6 +302,14 @@
     (part as u32).clamp(8, 512)
 }
 
+/// Tasks per lease of a job with so many: chunks are not split, and all leases
+/// together stay within half of the job's record, its description has the rest. A
+/// member's name takes at most `name` bytes.
+pub fn lease_size(value_kb: f64, name: usize, chunk: u32, parcels: u32) -> u32 {
+    let most = (value_kb * 1024.0 / 2.0) as usize / (SHARE_BYTES + name);
+    chunk * parcels.div_ceil(chunk).div_ceil(most.max(1) as u32).max(1)
+}
+
 /// The most that the record of a chunk takes.
 pub fn chunk_bytes(size: u32) -> usize {
     (size * PLACE_BYTES) as usize
@@ -309,6 +317,8 @@
 
 /// A place takes at most 24 bytes and the machine's name.
 const PLACE_BYTES: u32 = 48;
+/// A lease takes at most this and the member's name.
+const SHARE_BYTES: usize = 40;
 /// Writes a second for which a chunk could take the whole value limit; it
 /// takes half of it at most.
 const CHUNK_WRITES: f64 = 1.75;
@@ -385,4 +395,21 @@
         let bytes = crate::protocol::encode(&full).len();
         assert!(bytes <= 8 * 1024, "{bytes}");
     }
+
+    /// A job of 25,000 tasks went to seven controllers in 595 leases: its record was
+    /// over the store's limit, and it was refused for as long as its user asked.
+    #[test]
+    fn the_leases_of_the_largest_job_fit_its_record() {
+        // Limits are counted in the form of JSON.
+        let each = r#"{"member":"perch-6","from":99999,"to":99999},"#.len();
+        for (value_kb, writes, parcels) in [(8.0, 7.1, 25_000), (8.0, 100.0, 100_000), (4.0, 1.0, 100_000)] {
+            let chunk = chunk_size(value_kb, writes);
+            let size = lease_size(value_kb, "perch-6".len(), chunk, parcels);
+            let bytes = parcels.div_ceil(size) as usize * each;
+            assert!(bytes as f64 <= value_kb * 512.0, "{bytes} of {value_kb} KiB");
+            assert_eq!(size % chunk, 0, "a chunk has one holder");
+        }
+        // What is not so large is leased as finely as ever.
+        assert_eq!(lease_size(8.0, 7, 42, 400), 42);
+    }
 }
--- a/src/controller/leasing.rs
+++ b/src/controller/leasing.rs
@@ -142,7 +142,8 @@
         for share in self.view.jobs.values().filter(same).flat_map(|j| &j.rec.rec.shares) {
             *alike.entry(share.member.clone()).or_default() += share.to + 1 - share.from;
         }
-        let grain = self.view.chunk_size;
+        let name = members.iter().map(String::len).max().unwrap_or(0);
+        let grain = records::lease_size(self.set.settings.state.value_kb, name, self.view.chunk_size, spec.parcels);
         let blocks = blocks::Blocks { members: &members, rooms, queues, grain, zones, alike: &alike };
         blocks::lease(spec, waits, &blocks, &self.me, whole)
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -177,6 +177,24 @@
     assert!(done(&w, "run-003"));
 }
 
+/// One guest's job of 25,000 tasks was never accepted, and so never began: the leases
+/// of its parts alone were more than a value may hold.
+#[test]
+fn the_largest_job_begins() {
+    let size = Size { controllers: 7, machines: 60, write_rps: 50.0, txn_ops: 24, ..SMALL };
+    let mut w = World::sized(10, size);
+    w.cloud.most = 60;
+    w.submit("run-001", array(25_000, 20.0));
+    w.run_until(20.0);
+    assert!(w.jobs["run-001"].accepted);
+    let runs = running(&w, "run-001");
+    assert!(runs >= 200, "{runs} of 240 run");
+    w.jobs.get_mut("run-001").unwrap().withdraw_asked = true;
+    w.run_until(60.0);
+    assert!(w.jobs["run-001"].withdrawn_at.is_some());
+    assert_eq!(running(&w, "run-001"), 0);
+}
+
 #[test]
 fn a_team_never_exceeds_its_limit() {
     let mut w = World::new(8, 4);
