What is idle gives way to arrays with an aim; shares of the largest jobs

An array that can still meet its aim stops less urgent work, a few tasks a round, what can save first, and none that keeps an aim of its own by running on; queues count no less urgent work, so that such arrays go to all blocks alike. The leader's served lines tell of the largest jobs of each class, and how long the oldest that has not begun waits. A machine that hears nothing has its places given up before it is answered again once its lease has lapsed; the token is raised only for one that stays away.

--- a/src/controller/leasing.rs
+++ b/src/controller/leasing.rs
@@ -8,7 +8,7 @@
 use crate::coordination::blocks;
 use crate::placement::Room;
 use crate::protocol::store::{Cond, Op};
-use crate::protocol::user::{Form, JobSpec, Status};
+use crate::protocol::user::{Form, JobSpec, Status, Urgency};
 
 impl Controller {
     /// Whether it is ours to end the job: one controller does, so that they do not
@@ -58,7 +58,8 @@
     /// another block has.
     pub(super) fn relet(&mut self) {
         let size = self.view.chunk_size;
-        let seen = [Counted::All, Counted::Lasting].map(|c| (self.rooms_beside(true, c), self.queues(c)));
+        let seen = [Counted::All, Counted::Lasting].map(|c| self.rooms_beside(true, c));
+        let mut ahead: BTreeMap<(bool, Urgency), BTreeMap<String, f64>> = BTreeMap::new();
         let members: Vec<String> = self.view.members.keys().cloned().collect();
         let patient = self.report_s(0.25);
         let mut txns = Vec::new();
@@ -78,8 +79,9 @@
             let lost = dead && waits.iter().any(|i| holder(*i).is_none_or(|m| !self.view.members.contains_key(m)));
             // The queues of all others.
             let soon = self.counted(&j.spec) == Counted::Lasting;
-            let (rooms, queues) = &seen[usize::from(soon)];
-            let mut others = queues.clone();
+            let rooms = &seen[usize::from(soon)];
+            let queues = ahead.entry((soon, j.spec.urgency));
+            let mut others = queues.or_insert_with(|| self.queues(self.counted(&j.spec), j.spec.urgency)).clone();
             for (m, cores) in queued(j) {
                 if let Some(q) = others.get_mut(m) {
                     *q = (*q - cores).max(0.0);
@@ -156,11 +158,12 @@
     }
 
     /// Cores that waiting tasks leased to each member ask for, of services
-    /// that must start soon or of all others. Late jobs do not count: they
-    /// give way.
-    pub(super) fn queues(&self, counted: Counted) -> BTreeMap<String, f64> {
+    /// that must start soon or of all others. Late jobs do not count, nor do less
+    /// urgent ones: they give way.
+    pub(super) fn queues(&self, counted: Counted, urgency: Urgency) -> BTreeMap<String, f64> {
         let mut queues = BTreeMap::new();
-        for job in self.view.jobs.values().filter(|j| j.waiting_count() > 0) {
+        let ahead = |j: &&Job| j.waiting_count() > 0 && j.spec.urgency >= urgency;
+        for job in self.view.jobs.values().filter(ahead) {
             if self.counted(&job.spec) == counted && self.can_be_saved(job) {
                 for (member, cores) in queued(job) {
                     *queues.entry(member.to_string()).or_default() += cores;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -578,11 +578,22 @@
             behind = self.aims.behind(),
             "cluster"
         );
-        for (who, t) in self.served.tallies(self.view.jobs.values()) {
-            let served::Tally { judged, in_time, live, untouched, replicas, placed } = t;
-            tracing::debug!(?who, judged, in_time, live, untouched, replicas, placed, "served");
+        for (who, t) in self.served.tallies(self.view.jobs.values(), self.wall_ms()) {
+            let served::Tally { judged, in_time, live, untouched, waits_s, replicas, placed } = t;
+            tracing::debug!(?who, judged, in_time, live, untouched, waits_s, replicas, placed, "served");
             if let Some(share) = t.least_share().filter(|s| *s < served::HALF) {
-                tracing::warn!(?who, share, judged, in_time, live, untouched, replicas, placed, "hardly served");
+                tracing::warn!(
+                    ?who,
+                    share,
+                    judged,
+                    in_time,
+                    live,
+                    untouched,
+                    waits_s,
+                    replicas,
+                    placed,
+                    "hardly served"
+                );
             }
         }
     }
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -68,10 +68,11 @@
         }
         self.adopt();
         let name = report.machine.clone();
-        let now = self.now;
+        let (now, [lease, cancel]) = (self.now, self.lapse_s());
         let Some(m) = self.machines.get_mut(&name) else {
             return self.refuse(conn, 503, "not granted yet");
         };
+        let new_session = m.at.0 > 0 && report.shift > m.at.0;
         if !m.take(&report) {
             return self.refuse(conn, 503, "an older report");
         }
@@ -80,21 +81,20 @@
         }
         m.note_reply(now);
         let report_s = self.set.settings.workers.report_s;
-        let quiet = |reports: f64| {
-            let limit = Duration::from_secs_f64(report_s * reports);
-            m.heard_at.is_none_or(|t| now.saturating_sub(t) > limit)
-        };
-        self.dirty |= quiet(1.0) || m.answered_at.is_none();
-        let came_back = quiet(HEARD_REPORTS);
+        let silent = m.heard_at.map(|t| now.saturating_sub(t).as_secs_f64() / report_s);
+        self.dirty |= silent.is_none_or(|reports| reports > 1.0) || m.answered_at.is_none();
         m.sure = news == News::New || m.confirmed();
         if m.sure {
             m.heard_at = Some(now);
             m.unlisted = false;
             self.hearing.proved(&name, m.at, now);
         }
-        if came_back {
-            // It was with others, or heard nobody: the next report tells which.
-            m.challenge();
+        m.note_pace(silent.is_some_and(|reports| reports > HEARD_REPORTS), new_session);
+        let lapsed = m.lapsed(now, lease, cancel);
+        if lapsed {
+            // Before it is answered again: what ran under the answers that came has
+            // ended, and the next one starts nothing of it.
+            self.give_places_up(&name);
         }
         self.look(&name);
         let (wanted, kept) = self.wanted(&name);
@@ -549,33 +549,40 @@
     /// Places on machines that are proved empty are given up; a machine that
     /// was released leaves the fleet with the last of them.
     fn clear_empty(&mut self) {
-        let w = &self.set.settings.workers;
-        let now = self.now;
-        let lease = self.secs(w.lease_s * DRIFT + w.report_s / 2.0);
-        let cancel = self.secs(w.cancel_s * DRIFT + w.report_s / 2.0);
+        let (now, [lease, cancel]) = (self.now, self.lapse_s());
+        let empty = |(name, m): &(&String, &Machine)| self.gone.contains(*name) || m.lapsed(now, lease, cancel);
+        let empty: Vec<String> = self.machines.iter().filter(empty).map(|(name, _)| name.clone()).collect();
         let mut bare = Vec::new();
-        for (name, m) in &mut self.machines {
-            let gone = self.gone.contains(name);
-            if !gone && !m.lapsed(now, lease, cancel) {
-                continue;
-            }
-            match self.view.placed.get(name) {
-                Some(placed) => {
-                    for ((job, index), attempt) in placed {
-                        // The worker may report again before this is written:
-                        // ordered again, the task would run here after all.
-                        m.gone.insert((job.clone(), *index, *attempt));
-                        let change = self.changes.entry(job.clone()).or_insert_with(|| Change::new(now));
-                        change.clear.insert((*index, *attempt));
-                    }
-                }
-                None if gone => bare.push(name.clone()),
-                None => {}
+        for name in empty {
+            if !self.give_places_up(&name) && self.gone.contains(&name) {
+                bare.push(name);
             }
         }
         self.forget_machines(bare);
     }
 
+    /// After how long a lease has lapsed, by drifting clocks: since an answer, and
+    /// since a grant, before which others may have answered.
+    fn lapse_s(&self) -> [Duration; 2] {
+        let w = &self.set.settings.workers;
+        [w.lease_s, w.cancel_s].map(|s| self.secs(s * DRIFT + w.report_s / 2.0))
+    }
+
+    /// All that is placed on a machine that is proved empty is given up; whether
+    /// there was any.
+    fn give_places_up(&mut self, name: &str) -> bool {
+        let now = self.now;
+        let (Some(placed), Some(m)) = (self.view.placed.get(name), self.machines.get_mut(name)) else { return false };
+        for ((job, index), attempt) in placed {
+            // The worker may report again before this is written: ordered again,
+            // the task would run here after all.
+            m.gone.insert((job.clone(), *index, *attempt));
+            let change = self.changes.entry(job.clone()).or_insert_with(|| Change::new(now));
+            change.clear.insert((*index, *attempt));
+        }
+        true
+    }
+
     /// Machines that are gone, and hold no places, leave the records.
     pub(super) fn forget_machines(&mut self, names: Vec<String>) {
         let mut by_pack: BTreeMap<String, Vec<String>> = BTreeMap::new();
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -98,7 +98,7 @@
         let uid = spec.uid.clone();
         let waits: Vec<u32> = (0..spec.parcels).collect();
         let counted = self.counted(&spec);
-        let (rooms, queues) = (self.rooms_beside(true, counted), self.queues(counted));
+        let (rooms, queues) = (self.rooms_beside(true, counted), self.queues(counted, spec.urgency));
         let shares = self.shares_for(&spec, &waits, &rooms, &queues, &BTreeMap::new());
         let rec = records::JobRec { parcels: spec.parcels, spec: Some(spec), end: None, at_ms: self.wall_ms(), shares };
         let txn = Txn {
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -7,7 +7,7 @@
 use crate::bookkeeping::records::Place;
 use crate::placement::{Room, Rules, Start, Victim, Waiting, plan, preempt, zone_room};
 use crate::protocol::store::Op;
-use crate::protocol::user::{Form, Status};
+use crate::protocol::user::{Form, Status, Urgency};
 
 /// Estimates are often wrong by half: a job counts as late once its aim would
 /// be missed by a run of this part of the estimate.
@@ -15,6 +15,8 @@
 /// Tasks wait for this part of the places that should come free where their
 /// image is before it could be fetched elsewhere.
 const STAYS: f64 = 0.5;
+/// Room is made for so many tasks of arrays in one round.
+const ARRAY_ROOMS: u32 = 8;
 
 impl Controller {
     pub(super) fn work_tick(&mut self) {
@@ -246,15 +248,38 @@
         job.done == 0 && job.placed > 0 && job.chunks.values().flat_map(|c| &c.rec.on).all(here)
     }
 
+    /// Whether less urgent work gives way to the job: a service that must start soon,
+    /// or an array that can still meet its aim. What teams without a guarantee
+    /// borrowed for minutes would hold others up for as long.
+    fn presses(&self, job: &Job) -> bool {
+        match job.spec.form {
+            Form::Ensemble => false,
+            Form::Standing => self.aims.start_within(&job.spec).is_some(),
+            Form::Batch => {
+                let aimed = self.aims.end_within(&job.spec).is_some() && self.can_be_saved(job);
+                aimed || self.aims.start_within(&job.spec).is_some()
+            }
+        }
+    }
+
+    /// Whether an array's task that ran so long keeps its job's aim if it runs on, and
+    /// would miss it if it waited once more and began anew.
+    fn would_miss(&self, job: &Job, ran_s: f64) -> bool {
+        let age_s = self.wall_ms().saturating_sub(job.rec.rec.at_ms) as f64 / 1000.0;
+        let needs_s = job.spec.expected_s;
+        let aim_s = self.aims.end_within(&job.spec);
+        aim_s.is_some_and(|a| a >= age_s + (needs_s - ran_s).max(0.0) && a < age_s + needs_s * 2.0)
+    }
+
     /// Stops less urgent tasks for those that found no room and must start soon.
     fn make_room(&mut self, starts: &[Start]) {
         let now = self.now;
         let mut pressed: Vec<(&str, u32)> = Vec::new();
+        let runs = |u: Urgency| self.view.jobs.values().any(|j| j.placed > 0 && j.spec.urgency < u && !j.withdrawn());
+        let below: BTreeSet<Urgency> =
+            [Urgency::Standard, Urgency::Urgent, Urgency::Production].into_iter().filter(|u| runs(*u)).collect();
         for (uid, job) in &self.view.jobs {
-            if job.waiting_count() == 0
-                || self.aims.start_within(&job.spec).is_none()
-                || job.spec.form == Form::Ensemble
-            {
+            if job.waiting_count() == 0 || !below.contains(&job.spec.urgency) || !self.presses(job) {
                 continue;
             }
             let shares = job.rec.rec.shares.iter().filter(|s| s.member == self.me);
@@ -271,6 +296,17 @@
         if pressed.is_empty() {
             return;
         }
+        // Services first; of arrays the oldest, a few tasks a round.
+        let array = |uid: &str| self.view.jobs.get(uid).filter(|j| j.spec.form == Form::Batch);
+        pressed.sort_by_key(|(uid, _)| array(uid).map(|j| j.rec.rec.at_ms));
+        let mut left = ARRAY_ROOMS;
+        for (uid, n) in pressed.iter_mut() {
+            if array(uid).is_none() {
+                continue;
+            }
+            *n = left.min(*n);
+            left -= *n;
+        }
         let mut rooms = Vec::new();
         for (_, mut room) in self.rooms(false) {
             let name = room.machine.clone();
@@ -291,12 +327,15 @@
                     room.put_back(&j.spec);
                 } else if j.spec.form == Form::Batch && !j.withdrawn() {
                     let ran = m.since.get(&key).map_or(0.0, |t| now.saturating_sub(*t).as_secs_f64());
+                    // What can save is stopped with the time to.
+                    let lost = if j.spec.saves_in().is_some() { 0.0 } else { ran };
                     victims.push(Victim {
                         uid: uid.clone(),
                         index: *index,
                         attempt: *attempt,
                         spec: &j.spec,
-                        cost: ran * j.spec.cores,
+                        cost: lost * j.spec.cores,
+                        keeps: self.would_miss(j, ran),
                     });
                 }
             }
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -54,6 +54,8 @@
     answered_before: Option<Instant>,
     /// So many answers in a row did not reach it, as its reports show.
     missed: u32,
+    /// So many of its last reports came after it had been away.
+    absences: u32,
     /// When it last showed that an answer had reached it.
     pub reached_at: Option<Instant>,
     /// The newest report is shown to be no copy.
@@ -102,6 +104,7 @@
             told: 0,
             answered_before: None,
             missed: 0,
+            absences: 0,
             reached_at: None,
             sure: false,
             push: None,
@@ -182,9 +185,12 @@
         token
     }
 
-    /// Raises the token, so that its next report tells whether the answer came.
-    pub fn challenge(&mut self) {
-        if self.confirmed() {
+    /// It was away for longer than between two reports, or its lease `lapsed` though
+    /// we answer it. One that was cut off comes at its pace from then on; where it does
+    /// not, the token is raised, so that its reports tell whether answers come.
+    pub fn note_pace(&mut self, away: bool, lapsed: bool) {
+        self.absences = if away { self.absences + 1 } else { 0 };
+        if (self.absences > 1 || lapsed) && self.confirmed() {
             self.counter += 1;
         }
     }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -376,11 +376,18 @@
     pub spec: &'a JobSpec,
     /// Work that is lost with it, in CPU seconds.
     pub cost: f64,
+    /// Its job keeps an aim if it runs on, and would miss it.
+    pub keeps: bool,
+}
+
+fn may_stop(v: &Victim, spec: &JobSpec) -> bool {
+    v.spec.urgency < spec.urgency && (spec.form == Form::Standing || !v.keeps)
 }
 
 /// Which tasks to stop so that `spec` fits on a machine where it starts soon,
 /// in a zone where the job may have it: the set that loses least work. The rules
-/// allow it for higher urgency only.
+/// allow it for higher urgency only; one aim is not kept at the cost of another,
+/// unless a service waits.
 pub fn preempt<'a>(
     spec: &JobSpec,
     within_s: f64,
@@ -393,7 +400,7 @@
         if !may || !room.starts_within(spec, within_s) {
             continue;
         }
-        let mut able: Vec<&Victim> = victims.iter().filter(|v| v.spec.urgency < spec.urgency).collect();
+        let mut able: Vec<&Victim> = victims.iter().filter(|v| may_stop(v, spec)).collect();
         able.sort_by(|a, b| a.spec.urgency.cmp(&b.spec.urgency).then(a.cost.total_cmp(&b.cost)));
         // An image on the machine is worth the work lost while it would be fetched.
         let fetch = room.image_s(spec) * spec.cores;
@@ -602,7 +609,7 @@
         let mut service = JobSpec::example("run-1");
         service.urgency = Urgency::Urgent;
         let array = JobSpec::example("run-2");
-        let victim = |index, spec, cost| Victim { uid: "run-2".into(), index, attempt: 1, spec, cost };
+        let victim = |index, spec, cost| Victim { uid: "run-2".into(), index, attempt: 1, spec, cost, keeps: false };
         let rooms = vec![
             (room("m1", 0.0, "other"), vec![victim(0, &array, 0.0)]),
             (room("m2", 0.0, "img"), vec![victim(1, &array, 9.0), victim(2, &array, 3.0)]),
@@ -618,6 +625,14 @@
         service.apart = false;
         service.urgency = Urgency::Standard;
         assert!(preempt(&service, 1.0, &zones, &rooms).is_none());
+        // An array takes the room of less urgent work, but not of what would miss its
+        // own aim for it; a service does.
+        let idle = JobSpec { urgency: Urgency::Idle, ..array.clone() };
+        let keeps = |keeps| vec![(room("m1", 0.0, "img"), vec![Victim { keeps, ..victim(0, &idle, 1.0) }])];
+        assert!(preempt(&array, f64::INFINITY, &zones, &keeps(false)).is_some());
+        assert!(preempt(&array, f64::INFINITY, &zones, &keeps(true)).is_none());
+        let service = JobSpec { form: Form::Standing, ..array.clone() };
+        assert!(preempt(&service, f64::INFINITY, &zones, &keeps(true)).is_some());
     }
 
     /// Four tasks with four images on one empty machine all waited for the sum
--- /dev/null
+++ b/tests/known/guests.rs
@@ -0,0 +1,68 @@
+//! Teams without a guarantee, and the largest jobs: what was borrowed is given back, and
+//! all of it is served in the end.
+
+use crate::world::{Job, SMALL, Size, World, array, s};
+use crate::{done, running};
+
+fn fleet(seed: u64, machines: u32) -> World {
+    let size = Size { controllers: 3, machines, write_rps: 60.0, txn_ops: 24, ..SMALL };
+    let mut w = World::sized(seed, size);
+    w.cloud.most = machines as usize;
+    w
+}
+
+fn sweep(tasks: u32, run_s: f64) -> Job {
+    Job { idle: true, cores: 1.0, ..array(tasks, run_s) }
+}
+
+/// A guest's sweep of long idle tasks had taken the fleet, and each standard array waited
+/// until one of them ended: for minutes, while its aim was to be over within one.
+#[test]
+fn what_is_idle_gives_way_to_arrays_with_an_aim() {
+    for seed in 0..4 {
+        let mut w = fleet(9000 + seed, 6);
+        for x in w.workers.values_mut() {
+            x.runs.insert("run-901".into(), 300.0);
+        }
+        w.submit("run-901", sweep(300, 300.0));
+        w.run_until(20.0);
+        assert_eq!(running(&w, "run-901"), 48, "the fleet is theirs");
+        for n in 0..4 {
+            w.later(20.0 + 5.0 * f64::from(n), move |w| {
+                w.submit(&format!("run-{n}03"), Job { aimed: true, ..array(8, 8.0) });
+            });
+        }
+        w.run_until(60.0);
+        assert!((0..4).all(|n| done(&w, &format!("run-{n}03"))), "seed {seed}");
+        // Room is made for those that wait, not for more.
+        let kills: usize = w.workers.values().map(|x| x.kills.len()).sum();
+        assert!(kills <= 4 * 8 * 2 + 8, "seed {seed}: {kills} stopped for 32 tasks of two cores");
+        w.run_until(70.0);
+        assert_eq!(running(&w, "run-901"), 48, "seed {seed}: they have it back");
+    }
+}
+
+/// A huge job, a swarm of single tasks and arrays that keep coming: the huge one begins,
+/// and all are over once the others are.
+#[test]
+fn the_huge_and_the_swarm_are_served_beside_others() {
+    let mut w = fleet(9100, 20);
+    w.submit("run-900", Job { idle: true, cores: 1.0, ..array(3_000, 2.0) });
+    for n in 0..150 {
+        w.later(5.0 + 0.1 * f64::from(n), move |w| {
+            w.submit(&format!("run-2{n:03}0"), Job { idle: true, ..array(1, 2.0) })
+        });
+    }
+    for n in 0..12 {
+        w.later(5.0 + 4.0 * f64::from(n), move |w| {
+            w.submit(&format!("run-3{n:02}2"), Job { aimed: true, ..array(30, 6.0) });
+        });
+    }
+    w.run_until(15.0);
+    assert!(running(&w, "run-900") > 0, "the huge job has not begun");
+    w.run_until(110.0);
+    let over = |j: &&Job| j.told_done;
+    let (all, left) = (w.jobs.len(), w.jobs.values().filter(|j| !over(j)).count());
+    assert_eq!(left, 0, "of {all}");
+    assert!(w.now >= s(110.0));
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -54,6 +54,10 @@
     pub gang: bool,
     pub together: bool,
     pub apart: bool,
+    /// Less urgent than all others.
+    pub idle: bool,
+    /// Of a class that shall be over within 40 s.
+    pub aimed: bool,
     pub gpus: f64,
     pub tasks: u32,
     pub cores: f64,
@@ -172,6 +176,7 @@
         size.team_max
     );
     t += "[[settings.objectives]]\nkind = \"wait\"\nclass = \"web\"\nwithin_s = 6.0\nshare = 0.9\n";
+    t += "[[settings.objectives]]\nkind = \"finished\"\nclass = \"report\"\nwithin_s = 40.0\nshare = 0.9\n";
     t += &format!(
         "[settings.workers]\nreport_s = {REPORT_S}\nlease_s = {LEASE_S}\ngang_wait_s = {GANG_WAIT_S:.1}\ngang_peer_s = {GANG_PEER_S:.1}\ncancel_s = {CANCEL_S}\n"
     );
@@ -811,6 +816,8 @@
     let (form, urgency, docket) = match () {
         _ if j.standing => ("standing", "urgent", "web"),
         _ if j.gang => ("ensemble", "standard", "train"),
+        _ if j.idle => ("batch", "idle", "sweep"),
+        _ if j.aimed => ("batch", "standard", "report"),
         _ => ("batch", "standard", "calc"),
     };
     cbor!({
