Gangs wider than a segment begin; answers about jobs within their users' wait

A gang whose places do not fit into one segment was accepted and never began. Its places now go into several segments under one attempt, none is ordered before the view holds all of them, and what is not whole for a lease is taken back by each owner, by proof. An exit of a task that gave up waiting, and a notice, are believed only once our token was seen. A question waits at most three quarters of its user's two seconds.

Tests: tests/known/gangs.rs (small transactions; crashes, machines back at once, cuts, a withdrawal in between; random worlds); without the segments, the taking back or the order's gate they fail.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -209,6 +209,8 @@
     before: Duration,
     failures: u32,
     not_before: Instant,
+    /// Of a gang wider than a segment: since when only some of its places are stored.
+    parts_since: Option<Instant>,
 }
 
 pub struct Controller {
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -10,7 +10,7 @@
 use crate::protocol::cloud::{RELEASE, RELEASE_LIMIT, Release};
 use crate::protocol::encode;
 use crate::protocol::user::Form;
-use crate::protocol::worker::{Answer, Cause, Push, Redirect, TaskState};
+use crate::protocol::worker::{Answer, Cause, Order, Push, Redirect, TaskId, TaskState};
 use crate::recovery::square::{Case, Shown, Stored, case};
 
 /// A worker waits this long for an answer, then a little to try the next node.
@@ -99,8 +99,9 @@
         self.look(&name);
         let (wanted, kept) = self.wanted(&name);
         self.note_squared(&name, &wanted, &kept);
+        let Some(m) = self.machines.get(&name) else { return };
+        let orders = self.in_time(m.orders(&wanted, &kept));
         let Some(m) = self.machines.get_mut(&name) else { return };
-        let orders = m.orders(&wanted, &kept);
         let body = encode(&Answer { warrant: m.answer(now), orders: orders.into() });
         self.respond(conn, 200, body);
     }
@@ -169,7 +170,7 @@
     /// What shall run on the machine, and all that is placed there.
     fn wanted(&self, name: &str) -> (Placements, Placements) {
         let mut kept = self.view.placed.get(name).cloned().unwrap_or_default();
-        let live = |job: &str| self.view.jobs.get(job).is_some_and(|j| !j.withdrawn());
+        let live = |job: &str| self.view.jobs.get(job).is_some_and(|j| !j.withdrawn() && !self.taken_back(j));
         let mut wanted = kept.clone();
         let m = self.machines.get(name);
         wanted.retain(|(job, index), attempt| {
@@ -188,6 +189,17 @@
         (wanted, kept)
     }
 
+    /// Of the orders for a machine those that may go now: nothing of a wide gang is
+    /// started before the last of its places is stored.
+    fn in_time(&self, mut orders: Vec<Order>) -> Vec<Order> {
+        let parts = |job: &str| self.view.jobs.get(job).is_some_and(|j| self.in_parts(j));
+        orders.retain(|o| match o {
+            Order::Run { parcel, .. } => TaskId::parse(parcel).is_none_or(|t| !parts(&t.job)),
+            Order::Kill { .. } | Order::Forget { .. } => true,
+        });
+        orders
+    }
+
     /// Works out what the newest report says of the tasks placed there.
     fn look(&mut self, name: &str) {
         let now = self.now;
@@ -229,8 +241,9 @@
                     }
                     j.withdrawn() && stored == Stored::Ending
                 }
-                // A copy may show what was ordered again since.
-                Case::Failed => m.sure,
+                // A copy may show what was ordered again since, as only those are that gave
+                // up waiting: these are believed under our own token.
+                Case::Failed => m.sure && (m.ready || s.cause != Some(Cause::Alone)),
                 _ => false,
             };
             if !gone {
@@ -286,12 +299,13 @@
         if self.view.hosts.get(name).is_none_or(|h| self.view.revision < h.rec.granted) {
             return;
         }
-        let Some(m) = self.machines.get_mut(name) else { return };
+        let Some(m) = self.machines.get(name) else { return };
         let Ok(addr) = m.addr.parse() else { return };
         if m.heard_at.is_none_or(|t| self.now.saturating_sub(t) > silent) {
             return;
         }
-        let orders = m.orders(&wanted, &kept);
+        let orders = self.in_time(m.orders(&wanted, &kept));
+        let Some(m) = self.machines.get_mut(name) else { return };
         let orders = m.to_push(orders);
         if orders.is_empty() {
             return;
@@ -351,7 +365,7 @@
         let mut rooms: Option<Vec<Room>> = None;
         let recent = self.report_s(1.5);
         for (name, m) in &self.machines {
-            let Some(left_s) = m.recall_s.filter(|_| m.sure) else { continue };
+            let Some(left_s) = m.recall_s.filter(|_| m.sure && m.ready) else { continue };
             for ((uid, index), attempt) in self.view.placed.get(name).into_iter().flatten() {
                 let key = (uid.clone(), *index, *attempt);
                 let Some(j) = self.view.jobs.get(uid).filter(|j| !j.withdrawn()) else { continue };
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -10,6 +10,10 @@
 
 /// Seconds after which a client is told to come back.
 const COME_BACK: u32 = 1;
+/// Users wait so long for an answer about a job (PROTOCOL). What cannot be given in
+/// this part of it is refused, so that they ask again rather than in vain.
+const USERS_WAIT_S: f64 = 2.0;
+const ANSWERED_WITHIN: f64 = 0.75;
 
 impl Controller {
     pub(super) fn request(&mut self, conn: ConnId, method: &str, path: &str, body: &[u8]) {
@@ -175,7 +179,7 @@
     }
 
     fn ask(&mut self, conn: ConnId, uid: &str, withdraw: bool) {
-        let until = self.now + self.report_s(0.75);
+        let until = self.now + self.report_s(0.75).min(self.secs(USERS_WAIT_S * ANSWERED_WITHIN));
         self.queries.push(Query { conn, uid: uid.to_string(), withdraw, stage: Stage::Queued, until });
     }
 
--- a/src/controller/segments.rs
+++ b/src/controller/segments.rs
@@ -7,7 +7,7 @@
 use crate::bookkeeping::Job;
 use crate::bookkeeping::records::{ChunkRec, Place};
 use crate::bookkeeping::segment::{Facts, RING, SegmentRec, bytes};
-use crate::coordination::log::{Draft, Limits, Need, byte_shares, fitting};
+use crate::coordination::log::{Draft, Limits, Need, byte_shares, fitting, wide};
 use crate::coordination::parts::Limit;
 use crate::placement::Start;
 use crate::protocol::encode;
@@ -186,9 +186,11 @@
         let size = self.view.chunk_size;
         let tries = job.chunks.values().map(|c| c.rec.tries).max().unwrap_or(0);
         // A gang that lost a task before it started is completed under the
-        // same attempt: its tasks find each other by that.
+        // same attempt: its tasks find each other by that. So is a wide one, whose
+        // places go into several segments.
         let gang = job.spec.form == Form::Ensemble;
         let attempt = if gang && job.placed > 0 { tries } else { tries + 1 };
+        let gang = gang && !self.is_wide(&job.spec);
         let mut wanted: Vec<(Place, Need)> = Vec::new();
         for s in starts {
             let free = !job.is_done(s.index, size) && job.place(s.index, size).is_none();
@@ -234,6 +236,12 @@
         !full
     }
 
+    /// Whether the job is a gang whose places may not fit into one segment.
+    pub(super) fn is_wide(&self, spec: &crate::protocol::user::JobSpec) -> bool {
+        let st = &self.set.settings.state;
+        spec.form == Form::Ensemble && wide(spec.parcels, st.txn_ops, (st.value_kb * 1024.0) as usize)
+    }
+
     /// How the starts of so many tasks go with their team's limit, if it has one;
     /// none if they have to wait.
     fn quota(
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -143,6 +143,7 @@
                 if let Some(p) = self.patience.get_mut(uid) {
                     p.waiting_since = None;
                     p.before = Duration::ZERO;
+                    p.parts_since = None;
                 }
                 continue;
             }
@@ -153,6 +154,11 @@
                 Patience { before: Duration::from_secs_f64(age_s), ..Patience::default() }
             });
             patience.waiting_since.get_or_insert(now);
+            if job.placed == 0 {
+                patience.parts_since = None;
+            } else if job.spec.form == Form::Ensemble {
+                patience.parts_since.get_or_insert(now);
+            }
             let waited_s = patience.waited(now).unwrap_or_default().as_secs_f64();
             let key = records::job_key(uid);
             if patience.not_before > now || self.busy.contains(&key) || self.outdated.contains_key(&key) {
@@ -236,16 +242,34 @@
     }
 
     /// Whether a gang lost tasks before it started, and all others are seen on
-    /// our machines, waiting for replacements.
+    /// our machines, waiting for replacements; or whether it is a wide one of which
+    /// no task was ordered yet.
     fn gathers(&self, job: &Job) -> bool {
         let recent = self.report_s(1.5);
-        let here = |p: &Place| {
-            self.machines.get(&p.machine).is_some_and(|m| {
-                let heard = m.heard_at.is_some_and(|t| self.now.saturating_sub(t) < recent);
-                heard && m.gathers(&job.spec.uid, p.index, p.attempt)
+        let all = |fit: &dyn Fn(&Machine, &Place) -> bool| {
+            job.chunks.values().flat_map(|c| &c.rec.on).all(|p| {
+                self.machines
+                    .get(&p.machine)
+                    .is_some_and(|m| m.heard_at.is_some_and(|t| self.now.saturating_sub(t) < recent) && fit(m, p))
             })
         };
-        job.done == 0 && job.placed > 0 && job.chunks.values().flat_map(|c| &c.rec.on).all(here)
+        let uid = &job.spec.uid;
+        let absent = |m: &Machine, p: &Place| m.confirmed() && m.find(uid, p.index, p.attempt).is_none();
+        let stored = || self.is_wide(&job.spec) && !self.taken_back(job) && all(&absent);
+        job.done == 0 && job.placed > 0 && (all(&|m, p| m.gathers(uid, p.index, p.attempt)) || stored())
+    }
+
+    /// Of a wide gang only some places are stored: none of them is ordered.
+    pub(super) fn in_parts(&self, job: &Job) -> bool {
+        job.placed < job.spec.parcels && self.is_wide(&job.spec)
+    }
+
+    /// They have been for a lease: whoever should have stored the rest does not, or has
+    /// no room any more. Each owner takes its own back, by proof, and it begins anew.
+    pub(super) fn taken_back(&self, job: &Job) -> bool {
+        let lease = self.secs(self.set.settings.workers.lease_s);
+        let since = self.patience.get(&job.spec.uid).and_then(|p| p.parts_since);
+        self.in_parts(job) && since.is_some_and(|t| self.now.saturating_sub(t) > lease)
     }
 
     /// Whether less urgent work gives way to the job: a service that must start soon,
--- a/src/coordination/log.rs
+++ b/src/coordination/log.rs
@@ -61,6 +61,19 @@
     sums.take_while(|sum| *sum <= all).count().max(1)
 }
 
+/// Whether a gang of so many tasks may not fit into one segment, however few else is
+/// in it: each task may need a record of its own as a condition, and names its machine.
+pub fn wide(parcels: u32, txn_ops: usize, value: usize) -> bool {
+    // Beside them: the slot, the job, the block, the team, and checkpoints that go along.
+    let conds = (txn_ops * 4).saturating_sub(txn_ops + 4);
+    let each = bytes::START + LONGEST_NAME;
+    let fit = conds.min(byte_shares(value).0.saturating_sub(bytes::FRAME + LONGEST_NAME) / each);
+    parcels as usize > fit
+}
+
+/// Names of machines and jobs are no longer, or a segment takes fewer of them.
+const LONGEST_NAME: usize = 24;
+
 /// What one transaction may hold.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
--- a/tests/known/mod.rs
+++ b/tests/known/mod.rs
@@ -2,6 +2,7 @@
 //! process or machine that is back already: copies of reports, machines that hear
 //! nothing, controllers alone with their workers, ends in the middle of an election.
 
+mod gangs;
 mod guests;
 
 use crate::recovery::seeds;
