A job that fails everywhere is told from a machine that fails everything

Any three failures shut a machine for a lease, so one job submitted with a mistake shut machine after machine, and all its tasks were tried again at once. coordination/blame tells by where else they fail: a job that failed on three machines and did well on none shuts nothing and is tried with one task, ever more rarely; failures of several jobs, or of one that does well elsewhere, shut the machine; one job's on one machine rest it briefly.

Tests: the verdicts, and a_failing_job_shuts_nothing_and_a_faulty_machine_is_shut, which fails without the blame and without the single try.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -23,6 +23,7 @@
 use crate::bookkeeping::records::{self, Versioned};
 use crate::bookkeeping::served::{self, Served};
 use crate::bookkeeping::{Amounts, Images, View};
+use crate::coordination::blame::Tried;
 use crate::coordination::log::Writer;
 use crate::coordination::machine::Machine;
 use crate::coordination::parts::Parts;
@@ -208,6 +209,7 @@
     /// process was: its age goes on where the one before left off.
     before: Duration,
     failures: u32,
+    tried: Tried,
     not_before: Instant,
     /// Of a gang wider than a segment: since when only some of its places are stored.
     parts_since: Option<Instant>,
@@ -343,6 +345,11 @@
 }
 
 impl Patience {
+    /// The job was submitted with a mistake, by all that is known here.
+    fn fails_everywhere(&self, done: u32) -> bool {
+        done == 0 && self.tried.everywhere()
+    }
+
     /// How long the job has waited, if it does.
     fn waited(&self, now: Instant) -> Option<Duration> {
         self.waiting_since.map(|t| now.saturating_sub(t) + self.before)
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::bookkeeping::records::Place;
 use crate::bookkeeping::{Job, Placements};
+use crate::coordination::blame::Verdict;
 use crate::fleet::given_up_after_s;
 use crate::links::account::{Group, Silence, of_silence};
 use crate::placement::Room;
@@ -207,6 +208,7 @@
         let (wanted, kept) = self.wanted(name);
         let Some(m) = self.machines.get_mut(name) else { return };
         // A machine that has just taken our token can take tasks now.
+        let mut failed = false;
         let mut freed = m.warrant == m.token() && !std::mem::replace(&mut m.ready, true);
         for s in &m.tasks {
             let (job, index) = (&s.task.job, s.task.index);
@@ -237,7 +239,7 @@
                         for i in from..to {
                             freed |= change.done.insert(i);
                         }
-                        m.errors = 0;
+                        m.failures.clear();
                     }
                     j.withdrawn() && stored == Stored::Ending
                 }
@@ -254,9 +256,11 @@
                 freed = true;
                 m.gone.insert((job.clone(), index, s.attempt));
                 if s.cause == Some(Cause::Error) {
-                    m.errors += 1;
+                    m.failures.note(job);
+                    failed = true;
                     let p = self.patience.entry(job.clone()).or_default();
                     p.failures += 1;
+                    p.tried.failed_on(name);
                     let pause = (p.failures / 4).min(6);
                     p.not_before =
                         now + Duration::from_secs_f64(self.set.settings.workers.report_s) * ((1 << pause) - 1);
@@ -279,12 +283,20 @@
                 }
             }
         }
-        if m.errors >= 3 {
-            // Every task fails here: nothing new for a while, longer each time.
-            let pause = Duration::from_secs_f64(self.set.settings.workers.lease_s);
-            tracing::info!(machine = %name, errors = m.errors, "machine is quarantined");
-            m.shut_until = now + pause;
-            m.errors = 2; // one more failure after the pause shuts it again
+        if failed {
+            let done = |job: &str| self.view.jobs.get(job).map_or(0, |j| j.done);
+            let bad = |job: &str| self.patience.get(job).is_some_and(|p| p.fails_everywhere(done(job)));
+            let w = &self.set.settings.workers;
+            match m.failures.verdict(bad, |job| done(job) > 0) {
+                Verdict::Well => {}
+                // So long that the job is tried elsewhere.
+                Verdict::Open => m.shut_until = now + Duration::from_secs_f64(w.report_s * 2.0),
+                Verdict::Faulty => {
+                    tracing::info!(machine = %name, failures = ?m.failures, "machine is quarantined");
+                    m.shut_until = now + Duration::from_secs_f64(w.lease_s);
+                    m.failures.served();
+                }
+            }
         }
         self.dirty |= freed;
     }
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -160,6 +160,7 @@
                 patience.parts_since.get_or_insert(now);
             }
             let waited_s = patience.waited(now).unwrap_or_default().as_secs_f64();
+            let failing = patience.fails_everywhere(job.done);
             let key = records::job_key(uid);
             if patience.not_before > now || self.busy.contains(&key) || self.outdated.contains_key(&key) {
                 continue;
@@ -178,6 +179,10 @@
                 continue;
             }
             let mut tasks: Vec<u32> = all.into_iter().filter(|i| mine(*i)).collect();
+            // One task is enough to see that a job goes on failing.
+            if job.spec.form == Form::Batch && failing {
+                tasks.truncate(1);
+            }
             // Exits that are not written yet must not be started over.
             if let Some(c) = self.changes.get(uid) {
                 tasks.retain(|i| !c.done.contains(i));
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -5,6 +5,7 @@
 //! *absent* (a task that was ordered never arrived, and never will) and
 //! *empty* (the whole machine is). Both are argued in `docs/design.md`.
 
+use super::blame::Failures;
 use super::warrant::Warrant;
 use crate::bookkeeping::{Images, Placements};
 use crate::effects::{CallId, Instant};
@@ -64,7 +65,7 @@
     pub push: Option<CallId>,
     /// Starts and kills pushed in this session, not to be pushed again.
     pushed: BTreeSet<(String, u32, u64, bool)>,
-    pub errors: u32,
+    pub failures: Failures,
     pub shut_until: Instant,
     /// Images it is known to hold.
     pub images: Images,
@@ -109,7 +110,7 @@
             sure: false,
             push: None,
             pushed: BTreeSet::new(),
-            errors: 0,
+            failures: Failures::default(),
             shut_until: Duration::ZERO,
             images: Images::default(),
             fetches: BTreeMap::new(),
--- a/tests/known/guests.rs
+++ b/tests/known/guests.rs
@@ -66,3 +66,36 @@
     assert_eq!(left, 0, "of {all}");
     assert!(w.now >= s(110.0));
 }
+
+/// One job with a mistake failed on every machine, and each that failed three of its
+/// tasks was shut: the work of others waited. A machine that fails everything is shut.
+#[test]
+fn a_failing_job_shuts_nothing_and_a_faulty_machine_is_shut() {
+    for seed in 0..4 {
+        let mut w = fleet(9500 + seed, 8);
+        for x in w.workers.values_mut() {
+            x.broken.insert("run-903".into());
+        }
+        let sick = w.workers.keys().nth(seed as usize).unwrap().clone();
+        w.run_until(6.0);
+        w.submit("run-903", array(60, 8.0));
+        w.run_until(30.0);
+        w.workers.get_mut(&sick).unwrap().sick = true;
+        let before: u32 = w.workers.values().map(|x| x.failed).sum();
+        for n in 0..12 {
+            w.later(30.0 + 4.0 * f64::from(n), move |w| w.submit(&format!("run-4{n:02}2"), array(8, 6.0)));
+        }
+        w.run_until(90.0);
+        let late: Vec<&String> = w.jobs.iter().filter(|(u, j)| *u != "run-903" && !j.told_done).map(|j| j.0).collect();
+        assert!(late.is_empty(), "seed {seed}: {late:?} wait");
+        let failed = |name: &str| w.workers.get(name).map_or(0, |x| x.failed);
+        let others: u32 = w.workers.values().map(|x| x.failed).sum::<u32>() - failed(&sick) - before.min(failed(&sick));
+        assert!(failed(&sick) < 40, "seed {seed}: {} tasks were given to it", failed(&sick));
+        // The failing job is tried ever more rarely.
+        assert!(others < before + 30, "seed {seed}: {others} failures, {before} at first");
+        assert_eq!(w.jobs["run-903"].done.len(), 0);
+        w.jobs.get_mut("run-903").unwrap().withdraw_asked = true;
+        w.run_until(100.0);
+        assert!(w.jobs["run-903"].withdrawn_at.is_some());
+    }
+}
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -50,6 +50,9 @@
     pub held: Vec<Value>,
     /// Every task fails here.
     pub sick: bool,
+    /// Jobs whose tasks fail on every machine, and how many did here.
+    pub broken: BTreeSet<String>,
+    pub failed: u32,
     pub runs: BTreeMap<String, f64>,
     /// Gangs that the users submitted: tasks of these wait for each other.
     pub gangs: BTreeSet<String>,
@@ -89,6 +92,8 @@
             unreached: BTreeSet::new(),
             held: Vec::new(),
             sick: false,
+            broken: BTreeSet::new(),
+            failed: 0,
             runs: BTreeMap::new(),
             gangs: BTreeSet::new(),
             recall_at: None,
@@ -126,7 +131,10 @@
                     self.next_report = self.next_report.min(now + s(0.5));
                     continue;
                 }
-                TaskState::Fetching if self.sick => (t.state, t.cause) = (TaskState::Exited, "error"),
+                TaskState::Fetching if self.sick || self.broken.contains(&t.job) => {
+                    (t.state, t.cause) = (TaskState::Exited, "error");
+                    self.failed += 1;
+                }
                 TaskState::Fetching => {
                     let name = format!("{}/{}", t.job, t.index);
                     let run = if self.results.contains(&name) {
