Arrays stop a task only where less is lost than half of what is made room for

For an array a task is now stopped only while its loss is less than half of what it makes room for; what saves loses nothing.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -380,8 +380,13 @@
     pub keeps: bool,
 }
 
+/// The part of an array's task that may be lost for it.
+const WORTH: f64 = 0.5;
+
 fn may_stop(v: &Victim, spec: &JobSpec) -> bool {
-    v.spec.urgency < spec.urgency && (spec.form == Form::Standing || !v.keeps)
+    // For an array less work is lost than half of what is made room for.
+    let cheap = || v.cost <= spec.cores * spec.expected_s * WORTH;
+    v.spec.urgency < spec.urgency && (spec.form == Form::Standing || !v.keeps && cheap())
 }
 
 /// Which tasks to stop so that `spec` fits on a machine where it starts soon,
@@ -631,7 +636,12 @@
         let keeps = |keeps| vec![(room("m1", 0.0, "img"), vec![Victim { keeps, ..victim(0, &idle, 1.0) }])];
         assert!(preempt(&array, f64::INFINITY, &zones, &keeps(false)).is_some());
         assert!(preempt(&array, f64::INFINITY, &zones, &keeps(true)).is_none());
+        // Tasks that cannot save lost more work than the arrays that took their room did.
+        let dear = array.cores * array.expected_s * 0.6;
+        let costs = vec![(room("m1", 0.0, "img"), vec![victim(0, &idle, dear)])];
+        assert!(preempt(&array, f64::INFINITY, &zones, &costs).is_none());
         let service = JobSpec { form: Form::Standing, ..array.clone() };
+        assert!(preempt(&service, f64::INFINITY, &zones, &costs).is_some());
         assert!(preempt(&service, f64::INFINITY, &zones, &keeps(true)).is_some());
     }
 
