Read once more: the least urgent work found in one pass, what peers heard looked up once

Which urgencies have less urgent work running was asked by three passes over all jobs in every round of planning; one pass for the least of them says the same. Whether a peer heard a machine say more than its owner knows stood twice and is told_newer now. A comment stands again by the line that it explains. No behaviour changed; the whole check passes.

--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -91,8 +91,7 @@
             self.hearing.proved(&name, m.at, now);
         }
         m.note_pace(silent.is_some_and(|reports| reports > HEARD_REPORTS), new_session);
-        let lapsed = m.lapsed(now, lease, cancel);
-        if lapsed {
+        if m.lapsed(now, lease, cancel) {
             // Before it is answered again: what ran under the answers that came has
             // ended, and the next one starts nothing of it.
             self.give_places_up(&name);
@@ -207,8 +206,8 @@
         let size = self.view.chunk_size;
         let (wanted, kept) = self.wanted(name);
         let Some(m) = self.machines.get_mut(name) else { return };
-        // A machine that has just taken our token can take tasks now.
         let mut failed = false;
+        // A machine that has just taken our token can take tasks now.
         let mut freed = m.warrant == m.token() && !std::mem::replace(&mut m.ready, true);
         for s in &m.tasks {
             let (job, index) = (&s.task.job, s.task.index);
@@ -546,9 +545,13 @@
     fn peers_hear(&self, machine: &str) -> bool {
         let limit = self.round_of_all();
         let reached = self.probed.get(machine).is_some_and(|t| self.now.saturating_sub(*t) < limit);
-        // What a peer heard must be newer than the last that came here.
+        reached || self.told_newer(machine, limit)
+    }
+
+    /// Whether a peer heard it within `limit` say more than the last that came here.
+    pub(super) fn told_newer(&self, machine: &str, limit: Duration) -> bool {
         let known = self.machines.get(machine).map_or((0, 0), |m| m.at);
-        reached || self.links.hears(machine, known, limit, self.now)
+        self.links.hears(machine, known, limit, self.now)
     }
 
     pub(super) fn release(&mut self, machines: Vec<String>) {
--- a/src/controller/upkeep.rs
+++ b/src/controller/upkeep.rs
@@ -132,9 +132,8 @@
 
     fn heard_now(&self, name: &str) -> bool {
         let limit = self.report_s(perches::HEARD_REPORTS);
-        let m = self.machines.get(name);
-        let (ours, known) = (m.and_then(|m| m.heard_at), m.map_or((0, 0), |m| m.at));
-        ours.is_some_and(|t| self.now.saturating_sub(t) < limit) || self.links.hears(name, known, limit * 2, self.now)
+        let ours = self.machines.get(name).and_then(|m| m.heard_at);
+        ours.is_some_and(|t| self.now.saturating_sub(t) < limit) || self.told_newer(name, limit * 2)
     }
 
     /// What each team's services want, and what of it is away: waiting, where nobody
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -7,7 +7,7 @@
 use crate::bookkeeping::records::Place;
 use crate::placement::{Room, Rules, Start, Victim, Waiting, plan, preempt, zone_room};
 use crate::protocol::store::Op;
-use crate::protocol::user::{Form, Status, Urgency};
+use crate::protocol::user::{Form, Status};
 
 /// Estimates are often wrong by half: a job counts as late once its aim would
 /// be missed by a run of this part of the estimate.
@@ -304,11 +304,10 @@
     fn make_room(&mut self, starts: &[Start]) {
         let now = self.now;
         let mut pressed: Vec<(&str, u32)> = Vec::new();
-        let runs = |u: Urgency| self.view.jobs.values().any(|j| j.placed > 0 && j.spec.urgency < u && !j.withdrawn());
-        let below: BTreeSet<Urgency> =
-            [Urgency::Standard, Urgency::Urgent, Urgency::Production].into_iter().filter(|u| runs(*u)).collect();
+        let running = self.view.jobs.values().filter(|j| j.placed > 0 && !j.withdrawn());
+        let Some(lowest) = running.map(|j| j.spec.urgency).min() else { return };
         for (uid, job) in &self.view.jobs {
-            if job.waiting_count() == 0 || !below.contains(&job.spec.urgency) || !self.presses(job) {
+            if job.waiting_count() == 0 || job.spec.urgency <= lowest || !self.presses(job) {
                 continue;
             }
             let shares = job.rec.rec.shares.iter().filter(|s| s.member == self.me);
