--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -21,6 +21,16 @@
     pub seq: u64,
 }
 
+/// A machine that spoke to the sender of late.
+#[derive(Debug, Clone, Default, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Heard {
+    pub machine: String,
+    pub ago_ms: u64,
+    /// What it said last: others know a copy of something older by it.
+    pub shift: u64,
+    pub tally: u64,
+}
+
 /// What one controller tells the others about what it sees. Hints only: no
 /// rule rests on a beat alone.
 #[derive(Debug, Clone, Default, PartialEq, BorshSerialize, BorshDeserialize)]
@@ -37,8 +47,8 @@
     pub members: Vec<(String, u64)>,
     /// Milliseconds since the sender's view of the store was known fresh.
     pub stale_ms: u64,
-    /// Machines that reported to the sender of late, and how long ago.
-    pub heard: Vec<(String, u64)>,
+    /// Machines that reported to the sender of late.
+    pub heard: Vec<Heard>,
     /// Machines of the sender's that fell silent, and their addresses: does anybody
     /// reach them?
     pub asks: Vec<(String, String)>,
--- a/src/controller/enrol.rs
+++ b/src/controller/enrol.rs
@@ -13,7 +13,13 @@
     /// A machine that reports and is not known joins the block of whoever it
     /// reports to, under the leader's term and epoch 0, below any later grant:
     /// no earlier owner can exist. The leader levels the blocks afterwards.
+    ///
+    /// A copy of a report of long ago brought machines back that had been returned,
+    /// and places on them that nobody heard of: so it must answer a call first.
     pub(super) fn enrol(&mut self, report: &Report) {
+        if !self.probed.contains_key(&report.machine) {
+            return self.call_back(report);
+        }
         let key = records::pack_key(&report.machine);
         let led = self.leader_name().is_some() && self.view.is_live(&self.me, self.incarnation);
         // What can be started on machines that are known already comes first.
--- a/src/controller/links.rs
+++ b/src/controller/links.rs
@@ -4,6 +4,7 @@
 
 use super::*;
 use crate::links::account::{Account, Group, Sight, of_owner};
+use crate::protocol::peer::Heard;
 
 /// So many beats tell of the images of all machines.
 const BEATS_PER_ROUND: usize = 4;
@@ -21,8 +22,8 @@
     pub(super) fn beat(&mut self) {
         let keep = self.round_of_all() + self.report_s(1.0);
         let now = self.now;
-        self.heard.retain(|_, t| now.saturating_sub(*t) < keep);
         let view = &self.view;
+        self.hearing.prune(now, keep, |m| view.hosts.contains_key(m));
         if self.ses.following() {
             self.images.retain(|m, _| view.hosts.contains_key(m));
         }
@@ -43,7 +44,14 @@
             held: Vec::new(),
             images: Vec::new(),
             stale_ms: self.ses.staleness(now).map_or(u64::MAX, millis),
-            heard: self.heard.iter().map(|(m, t)| (m.clone(), millis(now.saturating_sub(*t)))).collect(),
+            heard: self
+                .hearing
+                .all()
+                .map(|(m, t, (shift, tally))| {
+                    let ago_ms = millis(now.saturating_sub(t));
+                    Heard { machine: m.to_string(), ago_ms, shift, tally }
+                })
+                .collect(),
         };
         self.beats = self.beats.wrapping_add(1);
         for (n, name) in self.view.hosts.keys().enumerate() {
@@ -99,19 +107,38 @@
     pub(super) fn probe(&mut self, asks: &[(String, String)]) {
         for (machine, addr) in asks.iter().take(ASKS) {
             let Ok(addr) = addr.parse() else { continue };
-            let purpose = Purpose::Probe { machine: machine.clone() };
+            let purpose = Purpose::Probe { machine: machine.clone(), known: self.hearing.newest(machine) };
             self.call(Target::Worker(addr), "GET", "/show".into(), None, self.report_s(1.0), purpose);
         }
     }
 
-    pub(super) fn probe_answer(&mut self, machine: String, result: Result<Reply, NoAnswer>) {
+    /// Calls a machine whose report may be a copy: of one that nobody knows, or that
+    /// says less than is known.
+    pub(super) fn call_back(&mut self, report: &Report) {
+        if self.hearing.may_call(&report.machine, self.now, self.report_s(1.0)) {
+            self.probe(&[(report.machine.clone(), report.addr.clone())]);
+        }
+    }
+
+    pub(super) fn probe_answer(&mut self, machine: String, known: At, result: Result<Reply, NoAnswer>) {
         let report = result.ok().filter(|r| r.status == 200);
         let report = report.and_then(|r| crate::protocol::decode::<Report>(&r.body).ok());
-        if report.is_some_and(|r| r.machine == machine) {
-            // Its owner may be about to return it.
-            self.beat_next = self.beat_next.min(self.now + self.report_s(STRAY_BEAT));
-            self.probed.insert(machine, self.now);
+        let Some(report) = report.filter(|r| r.machine == machine) else { return };
+        // Its owner may be about to return it.
+        self.beat_next = self.beat_next.min(self.now + self.report_s(STRAY_BEAT));
+        self.probed.insert(machine.clone(), self.now);
+        let at = (report.shift, report.tally);
+        if at < known {
+            // It said this after we called, so its counters went back: it ended.
+            tracing::info!(%machine, shift = at.0, tally = at.1, "machine began anew");
+            self.hearing.begins_anew(&machine, at, self.now);
+            if let Some(m) = self.machines.get_mut(&machine) {
+                m.begin_anew(&report);
+                m.heard_at = Some(self.now);
+                self.dirty = true;
+            }
         }
+        self.retry_held();
     }
 
     fn live_members(&self) -> Vec<(String, u64)> {
@@ -174,12 +201,12 @@
                 *last = (*last).max(at);
             }
         };
-        for (machine, at) in &self.heard {
-            note(machine, &self.me, *at);
+        for (machine, at, _) in self.hearing.all() {
+            note(machine, &self.me, at);
         }
         for (member, p) in self.links.peers() {
             if self.links.news(member).is_some() {
-                p.heard().for_each(|(machine, age)| note(machine, member, p.at.saturating_sub(age)));
+                p.heard().for_each(|(machine, age, _)| note(machine, member, p.at.saturating_sub(age)));
             }
         }
         let mut unreached: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
@@ -246,7 +273,7 @@
 
     fn sight(&self, machine: &str, owner: &str, by_other: Option<Instant>) -> Sight {
         let (by_owner, owner_says_at) = if owner == self.me {
-            (self.heard.get(machine).copied(), Some(self.now))
+            (self.hearing.heard(machine), Some(self.now))
         } else {
             (self.links.heard_at(owner, machine), self.links.news(owner).map(|p| p.at))
         };
@@ -269,13 +296,21 @@
         names.extend(own.iter().map(|(name, _)| name.as_str()).filter(|name| !self.probed.contains_key(*name)));
         let known = |name: &str, member: &str| {
             if member == self.me {
-                return self.heard.get(name).max(self.probed.get(name)).copied();
+                return self.hearing.heard(name).max(self.probed.get(name).copied());
             }
             self.links.heard_at(member, name).max(self.links.reached_at(member, name))
         };
         let near = self.report_s(2.0);
+        // One that hears nothing comes round to all in turn. Moved once, it is moved
+        // again only if it does not come to its new owner either.
+        let (now, round) = (self.now, self.round_of_all());
+        let moved: BTreeSet<&str> = self.avoid.keys().map(|(machine, _)| machine.as_str()).collect();
+        let settled = |name: &str, owner: &str| {
+            let since = self.owned.get(name).map_or(now, |o| o.since);
+            !moved.contains(name) || now.saturating_sub(since) > round && known(name, owner).is_none_or(|t| t < since)
+        };
         let by_whom = |name: &str| {
-            let owner = self.owner_of(name)?;
+            let owner = self.owner_of(name).filter(|owner| settled(name, owner))?;
             let able = self.view.members.keys().filter(|m| *m != owner && !self.deaf.is(m, self.now));
             let hears = able.filter_map(|m| Some((known(name, m)?, m))).max()?;
             (self.now.saturating_sub(hears.0) < near).then(|| (name.to_string(), hears.1.clone()))
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -29,6 +29,7 @@
 use crate::coordination::session::Session;
 use crate::effects::{Action, CallId, ConnId, Event, Instant, NoAnswer, Reply, Target};
 use crate::links::account::Deaf;
+use crate::links::hearing::{At, Hearing, News};
 use crate::links::table::Links;
 use crate::placement::knapsack::Knapsack;
 use crate::protocol::cloud::{Listed, MachineType};
@@ -65,9 +66,11 @@
         machine: String,
         grant: u64,
     },
-    /// Whether a silent machine answers anybody.
+    /// Whether a machine answers, and what: silent ones, unknown ones, and those that
+    /// say less than was known when they were called.
     Probe {
         machine: String,
+        known: At,
     },
     Txn {
         txn: Txn,
@@ -161,6 +164,7 @@
 struct HeldReport {
     conn: ConnId,
     report: Report,
+    news: News,
     until: Instant,
 }
 
@@ -232,7 +236,7 @@
     machines: BTreeMap<String, Machine>,
     /// The state of the view's machine records that `machines` follows.
     adopted: Option<u64>,
-    heard: HashMap<String, Instant>,
+    hearing: Hearing,
     /// Images on machines of other blocks.
     images: HashMap<String, Images>,
     beats: usize,
@@ -379,7 +383,7 @@
             held: Vec::new(),
             machines: BTreeMap::new(),
             adopted: None,
-            heard: HashMap::new(),
+            hearing: Hearing::default(),
             images: HashMap::new(),
             beats: 0,
             changes: BTreeMap::new(),
@@ -469,6 +473,10 @@
                     }
                 }
                 self.links.receive(&member, &beat, now);
+                for h in &beat.heard {
+                    let when = now.saturating_sub(Duration::from_millis(h.ago_ms));
+                    self.hearing.told(&h.machine, (h.shift, h.tally), when);
+                }
                 self.links_dirty = true;
                 self.probe(&beat.asks);
             }
@@ -647,7 +655,7 @@
             }
             Purpose::Release { machines } => self.release_answer(machines, result),
             Purpose::Push { machine, grant } => self.push_answer(id, &machine, grant, result),
-            Purpose::Probe { machine } => self.probe_answer(machine, result),
+            Purpose::Probe { machine, known } => self.probe_answer(machine, known, result),
             Purpose::Txn { txn, why, keys, sent } => {
                 let took = self.now.saturating_sub(sent).as_millis() as u64;
                 self.txn_ms.saturating_record(took);
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -25,9 +25,14 @@
 const CUT_LEASES: f64 = 2.0;
 
 impl Controller {
+    /// A worker's call.
+    pub(super) fn report(&mut self, conn: ConnId, report: Report) {
+        let news = self.hearing.report(&report.machine, (report.shift, report.tally), self.now);
+        self.take_report(conn, report, news, None);
+    }
+
     /// A report; `until` is set when it waited for a grant already.
-    pub(super) fn report(&mut self, conn: ConnId, report: Report, until: Option<Instant>) {
-        self.heard.insert(report.machine.clone(), self.now);
+    fn take_report(&mut self, conn: ConnId, report: Report, news: News, until: Option<Instant>) {
         if let Some(peer) = self.better_off() {
             return self.redirect(conn, Some(&peer));
         }
@@ -37,22 +42,29 @@
         let leader = self.leader_name();
         let Some(host) = self.view.hosts.get(&report.machine) else {
             self.enrol(&report);
-            return self.hold(conn, report, until);
+            return self.hold(conn, report, news, until);
         };
         if !self.owns(host) {
             if self.view.owned(&host.rec) {
                 let owner = host.rec.owner.clone();
-                self.note_stray(&report.machine);
+                if news == News::New {
+                    self.note_stray(&report.machine);
+                }
                 return self.redirect(conn, Some(&owner));
             }
             if leader.as_deref() == Some(self.me.as_str()) {
-                return self.hold(conn, report, until);
+                return self.hold(conn, report, news, until);
             }
             return self.redirect(conn, leader.as_deref());
         }
         // Our view must hold all that earlier owners stored about the machine.
         if self.view.revision < host.rec.granted {
-            return self.hold(conn, report, until);
+            return self.hold(conn, report, news, until);
+        }
+        if news == News::Old {
+            // A copy, or a machine that ended and is back.
+            self.call_back(&report);
+            return self.refuse(conn, 503, "an older report");
         }
         self.adopt();
         let name = report.machine.clone();
@@ -66,19 +78,30 @@
         if !m.outrank() {
             return self.refuse(conn, 503, "the worker listens to somebody else");
         }
-        let quiet = m
-            .heard_at
-            .is_none_or(|t| now.saturating_sub(t) > Duration::from_secs_f64(self.set.settings.workers.report_s));
-        self.dirty |= quiet || m.answered_at.is_none();
-        m.heard_at = Some(now);
-        m.unlisted = false;
+        m.note_reply(now);
+        let report_s = self.set.settings.workers.report_s;
+        let quiet = |reports: f64| {
+            let limit = Duration::from_secs_f64(report_s * reports);
+            m.heard_at.is_none_or(|t| now.saturating_sub(t) > limit)
+        };
+        self.dirty |= quiet(1.0) || m.answered_at.is_none();
+        let came_back = quiet(HEARD_REPORTS);
+        m.sure = news == News::New || m.confirmed();
+        if m.sure {
+            m.heard_at = Some(now);
+            m.unlisted = false;
+            self.hearing.proved(&name, m.at, now);
+        }
+        if came_back {
+            // It was with others, or heard nobody: the next report tells which.
+            m.challenge();
+        }
         self.look(&name);
         let (wanted, kept) = self.wanted(&name);
         self.note_squared(&name, &wanted, &kept);
         let Some(m) = self.machines.get_mut(&name) else { return };
         let orders = m.orders(&wanted, &kept);
-        m.answered_at = Some(now);
-        let body = encode(&Answer { warrant: m.token(), orders: orders.into() });
+        let body = encode(&Answer { warrant: m.answer(now), orders: orders.into() });
         self.respond(conn, 200, body);
     }
 
@@ -87,9 +110,9 @@
         self.view.is_live(&lead.rec.member, lead.rec.incarnation).then(|| lead.rec.member.clone())
     }
 
-    fn hold(&mut self, conn: ConnId, report: Report, until: Option<Instant>) {
+    fn hold(&mut self, conn: ConnId, report: Report, news: News, until: Option<Instant>) {
         let until = until.unwrap_or(self.now + self.report_s(0.75));
-        self.held.push(HeldReport { conn, report, until });
+        self.held.push(HeldReport { conn, report, news, until });
     }
 
     pub(super) fn retry_held(&mut self) {
@@ -97,7 +120,7 @@
             if h.until <= self.now {
                 self.refuse(h.conn, 503, "no owner yet");
             } else {
-                self.report(h.conn, h.report, Some(h.until));
+                self.take_report(h.conn, h.report, h.news, Some(h.until));
             }
         }
     }
@@ -206,7 +229,8 @@
                     }
                     j.withdrawn() && stored == Stored::Ending
                 }
-                Case::Failed => true,
+                // A copy may show what was ordered again since.
+                Case::Failed => m.sure,
                 _ => false,
             };
             if !gone {
@@ -294,7 +318,10 @@
         match report {
             Some(report) if report.machine == name => {
                 m.push = None;
-                m.take(&report);
+                if m.take(&report) {
+                    m.sure = true;
+                    self.hearing.proved(name, m.at, self.now);
+                }
                 self.look(name);
             }
             _ => {
@@ -324,7 +351,7 @@
         let mut rooms: Option<Vec<Room>> = None;
         let recent = self.report_s(1.5);
         for (name, m) in &self.machines {
-            let Some(left_s) = m.recall_s else { continue };
+            let Some(left_s) = m.recall_s.filter(|_| m.sure) else { continue };
             for ((uid, index), attempt) in self.view.placed.get(name).into_iter().flatten() {
                 let key = (uid.clone(), *index, *attempt);
                 let Some(j) = self.view.jobs.get(uid).filter(|j| !j.withdrawn()) else { continue };
@@ -393,7 +420,9 @@
         self.release_tokens = (self.release_tokens + dt * cap / w.lease_s).min(cap);
         self.release_at = now;
         let known = self.start.fleet_known() && !self.deaf.is(&self.me, now);
-        let silent_for = |m: &Machine| now.saturating_sub(m.heard_at.unwrap_or(m.owned_since));
+        // One that hears nothing is as good as silent, though its reports come.
+        let last = |m: &Machine| if m.hears_nothing() { m.reached_at } else { m.heard_at };
+        let silent_for = |m: &Machine| now.saturating_sub(last(m).unwrap_or(m.owned_since));
         let site = |name: &str| self.view.hosts.get(name).map_or("", |h| h.rec.site.as_str());
         let recent = self.report_s(HEARD_REPORTS);
         let mut zones: BTreeMap<&str, Group> = BTreeMap::new();
@@ -430,7 +459,9 @@
                 continue;
             }
             let limit = self.given_up_after(name, if m.heard_at.is_some() { limit } else { first });
-            if !known || silent <= limit || self.peers_hear(name) {
+            // What runs on a machine that hears nothing may run on to its lease's end.
+            let limit = if m.hears_nothing() { limit.max(lapse) } else { limit };
+            if !known || silent <= limit || !m.hears_nothing() && self.peers_hear(name) {
                 continue;
             }
             if m.heard_at.is_none() && !placed {
@@ -446,7 +477,8 @@
                 Silence::Cut => limit.max(long),
             };
             if silent > wait {
-                out.push((name.clone(), "silent", true));
+                let why = if m.hears_nothing() { "hears nothing" } else { "silent" };
+                out.push((name.clone(), why, true));
             }
         }
         if !self.may_ask(Retry::Release) {
@@ -488,7 +520,9 @@
     fn peers_hear(&self, machine: &str) -> bool {
         let limit = self.round_of_all();
         let reached = self.probed.get(machine).is_some_and(|t| self.now.saturating_sub(*t) < limit);
-        reached || self.links.hears(machine, limit, self.now)
+        // What a peer heard must be newer than the last that came here.
+        let known = self.machines.get(machine).map_or((0, 0), |m| m.at);
+        reached || self.links.hears(machine, known, limit, self.now)
     }
 
     pub(super) fn release(&mut self, machines: Vec<String>) {
@@ -578,7 +612,7 @@
 
     /// Whether some controller hears it, or did of late.
     pub(super) fn heard_by_any(&self, name: &str) -> bool {
-        self.heard.contains_key(name)
+        self.hearing.heard(name).is_some()
             || self.machines.get(name).is_some_and(|m| m.heard_at.is_some())
             || self.links.knows(name)
     }
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -26,7 +26,7 @@
             Route::Poll(uid) => self.poll(conn, uid),
             Route::Withdraw(uid) => self.withdraw(conn, uid),
             Route::Report => match decode::<Report>(body) {
-                Ok(report) => self.report(conn, report, None),
+                Ok(report) => self.report(conn, report),
                 Err(_) => self.refuse(conn, 400, "not a report"),
             },
             Route::WrongMethod => self.refuse(conn, 405, "wrong method"),
@@ -59,6 +59,7 @@
             age: self.now,
             loaded: self.ses.following(),
             stale: self.ses.staleness(self.now),
+            has_others: !self.set.others.is_empty(),
             others: recent.map(|p| p.stale.saturating_add(since(p))).collect(),
             entitled: self.entitled(),
             store_away: self.retry.is_open(Side::State),
--- a/src/coordination/health.rs
+++ b/src/coordination/health.rs
@@ -8,7 +8,8 @@
 //!
 //! - A process younger than a probe's interval is healthy: it is about to be ready.
 //! - With a view: healthy while it is fresh; while it is not, as long as no other is
-//!   much fresher and we may still act, or all are as badly off.
+//!   much fresher and we may still act, or all are as badly off. One that has lost the
+//!   state service and hears no other controller either is alone: users go elsewhere.
 //! - Without one: unhealthy once another controller says that its view is fresh, or
 //!   once the start has taken long, unless an outage is known to hit all.
 
@@ -25,6 +26,8 @@
     pub loaded: bool,
     /// How old our view may be; none before the first proof.
     pub stale: Option<Duration>,
+    /// There are other controllers.
+    pub has_others: bool,
     /// How old the views of the others are that spoke of late.
     pub others: Vec<Duration>,
     /// This controller may act for all of them.
@@ -45,8 +48,9 @@
     let shared = !f.others.is_empty() && none_fresh;
     if f.loaded {
         let ours = f.stale.unwrap_or(Duration::MAX);
+        let alone = f.has_others && f.others.is_empty();
         let fresher = f.others.iter().any(|t| t.saturating_add(f.margin) < ours);
-        !fresher && (f.entitled || shared)
+        !fresher && !alone && (f.entitled || shared)
     } else {
         none_fresh && f.age < f.margin || shared && f.store_away
     }
@@ -62,7 +66,17 @@
 
     fn starting(age: f64, others: &[f64]) -> Facts {
         let others = others.iter().map(|t| s(*t)).collect();
-        Facts { age: s(age), loaded: false, stale: None, others, entitled: false, store_away: false, margin: s(3.0) }
+        let margin = s(3.0);
+        Facts {
+            age: s(age),
+            loaded: false,
+            stale: None,
+            has_others: true,
+            others,
+            entitled: false,
+            store_away: false,
+            margin,
+        }
     }
 
     /// All controllers were back within 0.2 s, and the load balancer took all of them
@@ -99,5 +113,10 @@
         assert!(healthy(&view(9.0, &[8.0, 9.0], true)));
         assert!(healthy(&view(40.0, &[39.0, 41.0], false)), "all are as badly off");
         assert!(!healthy(&view(40.0, &[], false)));
+        // Without the store and without the others it is rather we who are cut off: users
+        // asked in vain for as long as it might have acted.
+        assert!(!healthy(&view(9.0, &[], true)));
+        let single = Facts { has_others: false, ..view(9.0, &[], true) };
+        assert!(healthy(&single), "nobody else could serve them");
     }
 }
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -15,6 +15,8 @@
 
 /// Most orders in one message, which keeps it below the body limit.
 const ORDERS_LIMIT: usize = 400;
+/// A machine hears nothing once so many answers in a row did not reach it.
+const MISSED: u32 = 2;
 
 #[derive(Debug, Clone, PartialEq)]
 pub struct Seen {
@@ -45,7 +47,17 @@
     ended: BTreeSet<(String, u32, u64)>,
     /// The last report that came from the worker itself, by its own call.
     pub heard_at: Option<Instant>,
+    /// The last answer that may have renewed its lease.
     pub answered_at: Option<Instant>,
+    /// The token of the newest answers, and the last answer before it.
+    told: u64,
+    answered_before: Option<Instant>,
+    /// So many answers in a row did not reach it, as its reports show.
+    missed: u32,
+    /// When it last showed that an answer had reached it.
+    pub reached_at: Option<Instant>,
+    /// The newest report is shown to be no copy.
+    pub sure: bool,
     /// A pushed message that is not answered yet.
     pub push: Option<CallId>,
     /// Starts and kills pushed in this session, not to be pushed again.
@@ -87,6 +99,11 @@
             ended: BTreeSet::new(),
             heard_at: None,
             answered_at: None,
+            told: 0,
+            answered_before: None,
+            missed: 0,
+            reached_at: None,
+            sure: false,
             push: None,
             pushed: BTreeSet::new(),
             errors: 0,
@@ -141,6 +158,54 @@
         true
     }
 
+    /// A report by the worker's own call was taken in. It keeps one in flight, so no
+    /// answer to an earlier one reaches it any more: what it does not show by now it
+    /// never had, and its lease was not renewed by it.
+    pub fn note_reply(&mut self, now: Instant) {
+        if self.told <= self.warrant {
+            self.missed = 0;
+            self.reached_at = Some(now);
+        } else {
+            self.missed += 1;
+            self.answered_at = self.answered_before;
+        }
+    }
+
+    /// Its report is answered; with what token.
+    pub fn answer(&mut self, now: Instant) -> u64 {
+        let token = self.token();
+        if self.told != token {
+            self.told = token;
+            self.answered_before = self.answered_at;
+        }
+        self.answered_at = Some(now);
+        token
+    }
+
+    /// Raises the token, so that its next report tells whether the answer came.
+    pub fn challenge(&mut self) {
+        if self.confirmed() {
+            self.counter += 1;
+        }
+    }
+
+    /// Its reports come, and show that answers do not reach it. One lost answer is none.
+    pub fn hears_nothing(&self) -> bool {
+        self.missed >= MISSED
+    }
+
+    /// The machine came back from its end, as its answer to our call shows: nothing
+    /// that was pushed to the one before may be carried out there.
+    pub fn begin_anew(&mut self, report: &Report) {
+        self.push_lost();
+        self.at = (0, 0);
+        self.take(report);
+        self.sure = true;
+        self.ready = false;
+        self.since.clear();
+        self.fetches.clear();
+    }
+
     /// Attempts that take no room here any more, whatever the store still says.
     pub fn over(&self) -> impl Iterator<Item = &(String, u32, u64)> {
         self.ended.union(&self.gone)
--- a/src/links/mod.rs
+++ b/src/links/mod.rs
@@ -10,4 +10,5 @@
 
 pub mod account;
 pub mod arrivals;
+pub mod hearing;
 pub mod table;
--- /dev/null
+++ b/tests/known/mod.rs
@@ -0,0 +1,271 @@
+//! Every accepted job runs or stays known, whatever was said late, to nobody, or by a
+//! process or machine that is back already: copies of reports, machines that hear
+//! nothing, controllers alone with their workers, ends in the middle of an election.
+
+use crate::recovery::seeds;
+use crate::world::worker::{TaskState, Worker};
+use crate::world::{CANCEL_S, LEASE_S, REPORT_S, SMALL, Size, World, array, s, service};
+use crate::{done, random_failures, running};
+use rand::RngExt;
+
+/// Seconds without an answered question after which a job counts as forgotten.
+const FORGOTTEN_S: f64 = 75.0;
+
+fn fleet(seed: u64, controllers: usize, machines: u32) -> World {
+    let size = Size { controllers, machines, write_rps: 60.0, txn_ops: 24, zones: &["a", "b"], ..SMALL };
+    let mut w = World::sized(seed, size);
+    w.cloud.most = machines as usize + 10;
+    w
+}
+
+/// Asks every node about every accepted job, again and again for as long as a job may
+/// go without an answer; each of the two must come to an answer with the other.
+fn all_are_known(w: &mut World) {
+    let (seed, nodes) = (w.seed, w.nodes.len());
+    let accepted: Vec<String> = w.jobs.iter().filter(|(_, j)| j.accepted).map(|(uid, _)| uid.clone()).collect();
+    let pairs = || accepted.iter().flat_map(|uid| (0..nodes).map(move |i| (uid.clone(), i)));
+    let until = w.now.as_secs_f64() + FORGOTTEN_S;
+    w.asked.clear();
+    while w.now.as_secs_f64() < until {
+        for (uid, i) in pairs() {
+            if w.asked.get(&(uid.clone(), i)) != Some(&200) {
+                w.ask(&uid, i);
+            }
+        }
+        w.run_until(w.now.as_secs_f64() + 5.0);
+    }
+    for pair in pairs() {
+        assert_eq!(w.asked[&pair], 200, "seed {seed}: no answer about {pair:?}");
+    }
+}
+
+/// All faults drawn, copies of any age among them; then calm.
+#[test]
+fn every_accepted_job_is_known_after_any_failures() {
+    for seed in 0..seeds(8) {
+        let team_max = if seed % 2 == 0 { 12.0 } else { 60.0 };
+        let controllers = [3, 5, 7][seed as usize % 3];
+        let size =
+            Size { controllers, machines: 30, write_rps: 30.0, txn_ops: 12, team_max, zones: &["a", "b"], ..SMALL };
+        let mut w = World::sized(8000 + seed, size);
+        w.cloud.most = 36;
+        w.copies = Some((0.3, if seed % 2 == 0 { (1.0, LEASE_S) } else { (LEASE_S, 3.0 * LEASE_S) }));
+        w.restart_between = Some((0.01, 0.9));
+        let mut w = random_failures(w, 24, 20, 260.0);
+        w.copies = None;
+        all_are_known(&mut w);
+    }
+}
+
+/// A machine that is dead was kept for as long as copies of its reports came.
+#[test]
+fn copies_keep_no_dead_machine_alive() {
+    for seed in 0..6 {
+        let mut w = fleet(8100 + seed, 3, 24);
+        w.submit("run-009", service(24));
+        w.run_until(12.0);
+        let name = w.workers.iter().max_by_key(|(_, x)| x.tasks.len()).unwrap().0.clone();
+        let old: Vec<u8> = w.workers.get_mut(&name).unwrap().report(w.now);
+        w.run_until(16.0);
+        w.cut_worker(&name, true);
+        for n in 0..60 {
+            let (copy, node) = (old.clone(), n % 3);
+            w.later(16.0 + 0.5 * n as f64, move |w| w.copy_to(node, copy));
+        }
+        w.run_until(31.0);
+        assert!(!w.workers.contains_key(&name), "seed {seed}: it is held to be alive");
+        assert_eq!(running(&w, "run-009"), 24, "seed {seed}");
+        // Returned, it must not be recorded again by whoever has a copy.
+        w.run_until(60.0);
+        let to = w.rng.random_range(0..3);
+        w.crash(to);
+        w.run_until(66.0);
+        let hosts = w.store.count("fq/h/");
+        for n in 0..10 {
+            let copy = old.clone();
+            w.later(66.0 + n as f64, move |w| w.copy_to(to, copy));
+        }
+        w.run_until(80.0);
+        assert_eq!(w.store.count("fq/h/"), hosts, "seed {seed}: what was returned is back");
+    }
+}
+
+/// A copy under notice, as the first word that a new process has of a machine, drained
+/// it: its services were stopped for nothing.
+#[test]
+fn a_copy_is_no_notice_and_no_exit() {
+    for seed in 0..4 {
+        let mut w = fleet(8200 + seed, 3, 12);
+        w.submit("run-009", service(24));
+        w.run_until(20.0);
+        let name = w.workers.iter().max_by_key(|(_, x)| x.tasks.len()).unwrap().0.clone();
+        let copy = {
+            let now = w.now;
+            let x: &mut Worker = w.workers.get_mut(&name).unwrap();
+            x.recall_at = Some(now + s(4.0));
+            let copy = x.report(now);
+            x.recall_at = None;
+            copy
+        };
+        w.restart_s = 0.05;
+        (0..3).for_each(|i| w.crash(i));
+        for n in 0..30 {
+            let copy = copy.clone();
+            w.later(20.06 + 0.02 * n as f64, move |w| (0..3).for_each(|i| w.copy_to(i, copy.clone())));
+        }
+        w.run_until(40.0);
+        let kills: usize = w.workers.values().map(|x| x.kills.len()).sum();
+        assert_eq!((kills, running(&w, "run-009")), (0, 24), "seed {seed}");
+    }
+}
+
+/// A machine that ended and was back at once, its counters begun anew, was refused as
+/// a copy of itself until it was given up and returned.
+#[test]
+fn a_machine_that_is_back_at_once_goes_on() {
+    for seed in 0..6 {
+        let mut w = fleet(8300 + seed, 3, 10);
+        w.cloud.most = 10;
+        w.submit("run-009", service(60));
+        w.run_until(20.0);
+        assert_eq!(running(&w, "run-009"), 60);
+        let name = w.workers.iter().max_by_key(|(_, x)| x.tasks.len()).unwrap().0.clone();
+        let now = w.now;
+        w.workers.get_mut(&name).unwrap().begin_anew(now);
+        w.run_until(20.0 + 4.0 * REPORT_S);
+        assert!(w.workers.contains_key(&name), "seed {seed}: it was returned");
+        assert_eq!(running(&w, "run-009"), 60, "seed {seed}");
+    }
+}
+
+/// A machine whose reports come while nothing reaches it was answered, and so held to
+/// have renewed its lease, for ever: its tasks were on record and ran nowhere. Nothing
+/// is stopped there before its lease is over, and it is not handed round.
+#[test]
+fn what_a_machine_that_hears_nothing_had_runs_elsewhere() {
+    for (seed, controllers) in [(0, 3), (1, 3), (2, 7), (3, 7)] {
+        let mut w = fleet(8400 + seed, controllers, 30);
+        w.submit("run-009", service(60));
+        w.submit("run-008", array(40, 18.0));
+        w.run_until(20.0);
+        let name = w.workers.iter().max_by_key(|(_, x)| x.tasks.len()).unwrap().0.clone();
+        w.workers.get_mut(&name).unwrap().deaf = true;
+        let before = w.store.ledger();
+        let n = name.clone();
+        for at in 21..37 {
+            let n = n.clone();
+            w.later(f64::from(at), move |w| assert!(w.workers.contains_key(&n), "ended by us after {at} s"));
+        }
+        // Its lease, a grant to whoever hears it, and a round of all.
+        let bound = 20.0 + LEASE_S + CANCEL_S + 5.5 * controllers as f64;
+        w.run_until(bound);
+        assert_eq!(running(&w, "run-009"), 60, "seed {seed}");
+        assert!(done(&w, "run-008"), "seed {seed}");
+        let moves = w.store.changes(&format!("fq/h/{name}"), before);
+        assert!(moves <= 3, "seed {seed}: handed round, {moves} changes");
+    }
+}
+
+/// One that hears again is used again, and what merely lost an answer never was out.
+#[test]
+fn a_machine_that_hears_again_is_used_again() {
+    let mut w = fleet(8500, 3, 8);
+    w.cloud.most = 8;
+    w.submit("run-009", service(40));
+    w.run_until(16.0);
+    let names: Vec<String> = w.workers.keys().cloned().collect();
+    for (n, name) in names.iter().enumerate() {
+        // Each loses an answer, one after the other.
+        let (a, b) = (name.clone(), name.clone());
+        w.later(16.0 + 3.0 * n as f64, move |w| w.workers.get_mut(&a).unwrap().deaf = true);
+        w.later(18.2 + 3.0 * n as f64, move |w| w.workers.get_mut(&b).unwrap().deaf = false);
+    }
+    w.run_until(55.0);
+    let lapsed: u32 = w.workers.values().map(|x| x.lapsed).sum();
+    assert_eq!((w.workers.len(), running(&w, "run-009"), lapsed), (8, 40, 0));
+    assert!(names.iter().all(|n| w.workers.contains_key(n)), "one was returned");
+}
+
+/// Half of the fleet hears nothing for a while: that is no reason to return it.
+#[test]
+fn a_zone_that_hears_nothing_is_not_returned() {
+    let mut w = fleet(8600, 3, 30);
+    w.submit("run-009", service(60));
+    w.run_until(20.0);
+    let zone: Vec<String> = w.workers.values().filter(|x| x.site == "a").map(|x| x.name.clone()).collect();
+    zone.iter().for_each(|n| w.workers.get_mut(n).unwrap().deaf = true);
+    let names = zone.clone();
+    w.later(20.0 + 1.5 * LEASE_S, move |w| {
+        assert!(names.iter().all(|n| w.workers.contains_key(n)), "some were returned");
+        names.iter().for_each(|n| w.workers.get_mut(n).unwrap().deaf = false);
+    });
+    w.run_until(150.0);
+    assert_eq!(running(&w, "run-009"), 60);
+    assert!(w.lost_alive == 0);
+}
+
+/// Controllers that lose the store and each other, but not their workers, with the
+/// leader among them: nothing that runs is lost to it, and what was stored meanwhile
+/// by others is not written over.
+#[test]
+fn controllers_alone_with_their_workers_yield_in_time() {
+    for (seed, lone, leads) in [(0, 1, false), (1, 1, true), (2, 3, true)] {
+        let mut w = fleet(8700 + seed, 7, 70);
+        w.submit("run-009", service(140));
+        w.submit("run-008", array(60, 18.0));
+        w.run_until(20.0);
+        let leader = w.store.leader().unwrap();
+        let first = if leads { leader } else { (leader + 1) % 7 };
+        let alone: Vec<usize> = (0..lone).map(|n| (first + n) % 7).collect();
+        alone.iter().for_each(|i| w.lone(*i, true));
+        w.later(26.0, |w| w.submit("run-001", array(20, 4.0)));
+        let back = alone.clone();
+        w.later(80.0, move |w| back.iter().for_each(|i| w.lone(*i, false)));
+        w.run_until(45.0);
+        assert!(w.jobs["run-001"].accepted, "seed {seed}: nobody takes work");
+        assert!(alone.iter().all(|i| !w.healthy(*i)), "seed {seed}: users are still sent there");
+        w.run_until(130.0);
+        assert!(done(&w, "run-001") && done(&w, "run-008"), "seed {seed}");
+        assert_eq!(running(&w, "run-009"), 140, "seed {seed}");
+        assert_eq!(w.lost_alive, 0, "seed {seed}");
+        all_are_known(&mut w);
+    }
+}
+
+/// Whoever leads ends as soon as it leads, and is back 10 to 900 ms later, together
+/// with another; machines end and are back meanwhile. Somebody leads in the end, and no
+/// grant is lost.
+#[test]
+fn ends_in_the_middle_of_elections_lose_no_grant() {
+    for seed in 0..seeds(8) {
+        let mut w = fleet(8800 + seed, if seed % 2 == 0 { 3 } else { 7 }, 40);
+        let nodes = w.nodes.len();
+        w.submit("run-009", service(80));
+        w.run_until(20.0);
+        w.restart_between = Some((0.01, 0.9));
+        w.frail_until = s(45.0);
+        for n in 0..40 {
+            let at = 20.0 + 0.6 * f64::from(n) + w.rng.random_range(0.0..0.5);
+            let other = w.rng.random_range(0..nodes);
+            w.later(at, move |w| {
+                if let Some(leader) = w.store.leader() {
+                    w.crash(leader);
+                }
+                w.crash(other);
+                let now = w.now;
+                let which = w.rng.random_range(0..w.workers.len());
+                if n % 5 == 0 {
+                    w.workers.values_mut().nth(which).unwrap().begin_anew(now);
+                }
+            });
+        }
+        w.later(46.0, |w| w.submit("run-001", array(20, 4.0)));
+        w.run_until(75.0);
+        assert!(w.store.leader().is_some(), "seed {seed}: nobody leads");
+        assert!(done(&w, "run-001"), "seed {seed}");
+        assert_eq!(running(&w, "run-009"), 80, "seed {seed}");
+        let on = |x: &Worker| x.tasks.values().filter(|t| t.state == TaskState::Running).count();
+        assert!(w.workers.values().filter(|x| on(x) > 0).count() > 5);
+        all_are_known(&mut w);
+    }
+}
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -41,6 +41,8 @@
     lease_from: Duration,
     pub next_report: Duration,
     pub cut: bool,
+    /// Its reports arrive, but neither answers nor commands reach it.
+    pub deaf: bool,
     /// When the last cut ended: it takes a while to call again.
     pub back_at: Option<Duration>,
     /// Nodes that it can't reach, nor they it.
@@ -82,6 +84,7 @@
             lease_from: now,
             next_report: now,
             cut: false,
+            deaf: false,
             back_at: None,
             unreached: BTreeSet::new(),
             held: Vec::new(),
@@ -96,6 +99,15 @@
         }
     }
 
+    /// The machine ends and is back at once: all that was on it is gone, and its
+    /// counters begin anew.
+    pub fn begin_anew(&mut self, now: Duration) {
+        self.tasks.clear();
+        self.held.clear();
+        (self.shift, self.tally, self.warrant) = (1, 0, 0);
+        (self.flight, self.lease_from, self.next_report) = (None, now, now);
+    }
+
     /// Lets time pass; names the tasks that completed.
     pub fn advance(&mut self, now: Duration) -> Vec<(String, u32)> {
         if now > self.lease_from + s(LEASE_S) {
