--- a/tests/meetings/drawn.rs
+++ b/tests/meetings/drawn.rs
@@ -46,8 +46,8 @@
             });
         }
         5 => {
-            w.later(at, move |w| drop(w.store.mute.insert(node)));
-            w.later(end, move |w| drop(w.store.mute.remove(&node)));
+            w.later(at, move |w| w.store.mute.extend([node]));
+            w.later(end, move |w| w.store.mute.retain(|n| *n != node));
         }
         6 => {
             w.later(at, |w| w.late_beats = Some((0.3, (0.5, 20.0))));
--- a/tests/meetings/leaders.rs
+++ b/tests/meetings/leaders.rs
@@ -16,7 +16,7 @@
         let tasks = 2 + n as u32 % 2;
         for index in 0..tasks {
             let run_s = w.rng.random_range(1.0..3.0) + 12.0 * f64::from(index);
-            w.workers.values_mut().for_each(|x| drop(x.runs.insert(format!("{uid}/{index}"), run_s)));
+            w.workers.values_mut().for_each(|x| x.runs.extend([(format!("{uid}/{index}"), run_s)]));
         }
         w.submit(&uid, array(tasks, at));
     }
@@ -100,7 +100,7 @@
         let mut w = fleet(9500 + seed, [3, 7][seed as usize % 2], 24);
         for n in 0..6 {
             let uid = format!("run-6{n}1");
-            w.workers.values_mut().for_each(|x| drop(x.runs.insert(uid.clone(), 55.0)));
+            w.workers.values_mut().for_each(|x| x.runs.extend([(uid.clone(), 55.0)]));
             w.submit(&uid, array(8, 50.0));
         }
         w.run_until(15.0);
