--- /dev/null
+++ b/src/coordination/machine/tests.rs
@@ -0,0 +1,160 @@
+use super::*;
+use crate::protocol::worker::TaskReport;
+
+fn report(at: (u64, u64), warrant: u64, tasks: &[(&str, u64, TaskState)]) -> Report {
+    Report {
+        machine: "host-000001".into(),
+        addr: "10.1.0.1:9000".into(),
+        build: "g8".into(),
+        site: "a".into(),
+        spot: false,
+        shift: at.0,
+        tally: at.1,
+        warrant,
+        recall_s: None,
+        tasks: tasks
+            .iter()
+            .map(|(p, attempt, status)| TaskReport {
+                parcel: p.to_string(),
+                attempt: *attempt,
+                status: *status,
+                cause: None,
+                kept: None,
+            })
+            .collect(),
+    }
+}
+
+fn places(list: &[(&str, u32, u64)]) -> Placements {
+    list.iter().map(|(j, i, a)| ((j.to_string(), *i), *a)).collect()
+}
+
+/// A held-back packet may deliver an old report after a newer one; acting
+/// on it would kill or restart what has moved on.
+#[test]
+fn an_older_report_changes_nothing() {
+    let mut m = Machine::new(1, 1, 1, Duration::ZERO);
+    assert!(m.take(&report((2, 5), 9, &[("run-1/0", 1, TaskState::Running)])));
+    assert!(!m.take(&report((2, 5), 9, &[])));
+    assert!(!m.take(&report((1, 99), 9, &[])));
+    assert_eq!(m.tasks.len(), 1);
+    assert!(m.take(&report((3, 1), 9, &[])));
+}
+
+/// A push without an answer may start its task minutes later. Until the
+/// worker has taken a higher token, nothing may be forgotten or called absent.
+#[test]
+fn an_unanswered_push_blocks_forgetting_until_the_token_is_raised() {
+    let mut m = Machine::new(1, 1, 1, Duration::ZERO);
+    let exited = [("run-1/0", 1, TaskState::Exited)];
+    m.take(&report((1, 1), m.token(), &exited));
+    let forget = Order::Forget { parcel: "run-1/0".into(), attempt: 1 };
+    assert_eq!(m.orders(&places(&[]), &places(&[])), vec![forget.clone()]);
+    m.push = Some(7);
+    assert!(m.orders(&places(&[]), &places(&[])).is_empty());
+    let before = m.token();
+    m.push_lost();
+    m.take(&report((1, 2), before, &exited));
+    assert!(m.orders(&places(&[]), &places(&[])).is_empty());
+    m.take(&report((1, 3), m.token(), &exited));
+    assert_eq!(m.orders(&places(&[]), &places(&[])), vec![forget]);
+}
+
+/// `done` must be in the store before the worker forgets it.
+#[test]
+fn an_exit_that_is_not_stored_is_not_forgotten() {
+    let mut m = Machine::new(1, 1, 1, Duration::ZERO);
+    m.take(&report((1, 1), m.token(), &[("run-1/0", 1, TaskState::Exited)]));
+    let kept = places(&[("run-1", 0, 1)]);
+    assert!(m.orders(&places(&[]), &kept).is_empty());
+    assert!(m.orders(&kept, &places(&[])).is_empty());
+}
+
+#[test]
+fn strangers_are_killed_and_missing_tasks_started() {
+    let mut m = Machine::new(1, 1, 1, Duration::ZERO);
+    m.take(&report((1, 1), m.token(), &[("run-1/0", 1, TaskState::Running)]));
+    let orders = m.orders(&places(&[("run-1", 0, 2)]), &places(&[]));
+    let kill = Order::Kill { parcel: "run-1/0".into(), attempt: 1, wind_down_s: 0.0 };
+    let run = Order::Run { parcel: "run-1/0".into(), attempt: 2 };
+    assert_eq!(orders, vec![kill, run]);
+}
+
+/// An earlier owner may be cut off with the worker and still answer it.
+#[test]
+fn a_lapse_counts_from_the_grant_too() {
+    let s = Duration::from_secs;
+    let mut m = Machine::new(1, 1, 1, s(100));
+    assert!(!m.lapsed(s(147), s(18), s(48)));
+    assert!(m.lapsed(s(149), s(18), s(48)));
+    m.answered_at = Some(s(140));
+    assert!(!m.lapsed(s(157), s(18), s(48)));
+    assert!(m.lapsed(s(159), s(18), s(48)));
+}
+
+/// One machine of a gang had its image long before the others: its task gave
+/// up, the whole gang was started anew, elsewhere, and gave up again.
+#[test]
+fn a_gang_task_that_gave_up_waiting_waits_on() {
+    let mut m = Machine::new(1, 1, 1, Duration::ZERO);
+    let mut r = report((1, 1), m.token(), &[("run-1/0", 2, TaskState::Exited)]);
+    r.tasks[0].cause = Some(Cause::Alone);
+    m.take(&r);
+    let here = places(&[("run-1", 0, 2)]);
+    let forget = Order::Forget { parcel: "run-1/0".into(), attempt: 2 };
+    let run = Order::Run { parcel: "run-1/0".into(), attempt: 2 };
+    assert_eq!(m.orders(&here, &here), vec![forget, run]);
+    assert!(m.gathers("run-1", 0, 2) && m.over().next().is_none());
+    // With a push under way nothing is forgotten.
+    m.push = Some(7);
+    assert!(m.orders(&here, &here).is_empty() && !m.gathers("run-1", 0, 2));
+}
+
+/// Tasks that can save lost their work when they were stopped for others.
+#[test]
+fn a_task_that_can_save_gets_the_time_to() {
+    let mut m = Machine::new(1, 1, 1, Duration::ZERO);
+    m.take(&report((1, 1), m.token(), &[("run-1/0", 2, TaskState::Running)]));
+    let kill = |wind_down_s| vec![Order::Kill { parcel: "run-1/0".into(), attempt: 2, wind_down_s }];
+    m.preempted.insert(("run-1".into(), 0, 2), 5.0);
+    assert_eq!(m.orders(&places(&[]), &places(&[("run-1", 0, 2)])), kill(5.0));
+    // Withdrawn meanwhile: its work is of no use to anyone.
+    m.preempted.clear();
+    assert_eq!(m.orders(&places(&[]), &places(&[("run-1", 0, 2)])), kill(0.0));
+}
+
+/// A machine ended and was back at once, and a copy of what it said before its end came
+/// after our first answer to its present life: above all that this had said. It voided
+/// that answer, so the lease counted as over, and its tasks were started elsewhere; an exit
+/// in it ended a task that runs.
+#[test]
+fn a_copy_from_an_earlier_life_proves_nothing() {
+    let s = Duration::from_secs;
+    let mut m = Machine::new(1, 1, 1, s(0));
+    let old = m.token();
+    let says = |m: &mut Machine, at, warrant, now| {
+        assert!(m.take(&report(at, warrant, &[("run-1/0", 1, TaskState::Exited)])));
+        m.note_reply(true, now);
+    };
+    says(&mut m, (1, 8), old, s(10));
+    assert!(m.sure && m.answer(s(10)) == old);
+    m.begin_anew(&report((1, 2), 0, &[]));
+    assert!(m.token() > old && !m.belies(0));
+    m.answer(s(20));
+    says(&mut m, (1, 7), old, s(21));
+    assert!(!m.sure, "it is no proof of the exit that it shows");
+    assert_eq!(m.answered_at, Some(s(20)), "our answer may have come");
+    // Another that goes on from there is no better; the worker's own shows that it did.
+    says(&mut m, (1, 9), old, s(22));
+    assert!(!m.sure && m.answered_at == Some(s(20)));
+    let token = m.token();
+    says(&mut m, (1, 10), token, s(23));
+    m.ready = true;
+    assert!(m.sure && m.belies(old) && !m.belies(token));
+    // One that hears nothing since it came shows what it came with, and voids.
+    let mut deaf = Machine::new(1, 1, 1, s(0));
+    says(&mut deaf, (1, 1), 3, s(1));
+    deaf.answer(s(1));
+    says(&mut deaf, (1, 2), 3, s(2));
+    assert!(deaf.answered_at.is_none() && !deaf.sure);
+}
