A machine that leaves its pack leaves it under its owner's grant

Cause: machines that are gone may be taken out of packs of other controllers' blocks, by a transaction that was conditional on the writer's own block. Carried out after the owner's block was granted anew, it wrote the grant from before back. Found by a check in the stand-in of the store that goes with every world: whatever changes a pack is conditional on the block of its owner of record.

Change: the condition is on the owner's block.

--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -633,7 +633,8 @@
                 Some(rec) => store::Op::Put { key: key.clone(), data: records::to_value(&rec), lease: None },
                 None => store::Op::Delete { key: key.clone() },
             };
-            let txn = Txn { conds: vec![store::Cond { key, entry_no: p.version }, self.block_cond()], ops: vec![op] };
+            let conds = vec![store::Cond { key, entry_no: p.version }, self.block_cond_of(&p.rec.owner)];
+            let txn = Txn { conds, ops: vec![op] };
             self.txn_keyed(txn, Why::Forget);
         }
     }
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -188,6 +188,14 @@
         }
         let fits = ops.len() <= self.txn_ops && conds.len() <= 4 * self.txn_ops && bytes(body).len() <= 65536;
         assert!(fits, "transaction over the limits");
+        // Whatever changes a pack looks at its owner's block: carried out late, after that
+        // was granted anew, it would bring a dead grant or a lower token back.
+        for key in ops.iter().map(|o| text(o, "put") + &text(o, "delete")).filter(|k| k.starts_with("fq/h/")) {
+            if let Some(e) = self.keys.get(&key) {
+                let block = format!("fq/b/{}", text(&e.data, "owner"));
+                assert!(conds.iter().any(|c| text(c, "key") == block), "{key} is changed without a look at {block}");
+            }
+        }
         self.ledger += 1;
         for o in &ops {
             let key = text(o, "put");
