--- a/tests/known/mod.rs
+++ b/tests/known/mod.rs
@@ -14,7 +14,7 @@
 /// Seconds without an answered question after which a job counts as forgotten.
 const FORGOTTEN_S: f64 = 75.0;
 
-fn fleet(seed: u64, controllers: usize, machines: u32) -> World {
+pub fn fleet(seed: u64, controllers: usize, machines: u32) -> World {
     let size = Size { controllers, machines, write_rps: 60.0, txn_ops: 24, zones: &["a", "b"], ..SMALL };
     let mut w = World::sized(seed, size);
     w.cloud.most = machines as usize + 10;
--- a/tests/meetings/gap.rs
+++ b/tests/meetings/gap.rs
@@ -3,8 +3,8 @@
 //! workers report to the old leader. The withdrawn tasks must be gone within `cancel_s` of
 //! the confirmation; nothing else need stop.
 
-use super::super::world::{CANCEL_S, Job, LEASE_S, SMALL, Size, World, array, gang, service};
-use super::super::{running, s};
+use crate::running;
+use crate::world::{CANCEL_S, Job, LEASE_S, SMALL, Size, World, array, gang, s, service};
 
 /// What meets, and how.
 #[derive(Debug, Clone, Copy)]
--- a/tests/meetings/mod.rs
+++ b/tests/meetings/mod.rs
@@ -6,14 +6,8 @@
 mod late;
 mod leaders;
 
-use super::world::{Job, LEASE_S, SMALL, Size, World, s};
-
-fn fleet(seed: u64, controllers: usize, machines: u32) -> World {
-    let size = Size { controllers, machines, write_rps: 60.0, txn_ops: 24, zones: &["a", "b"], ..SMALL };
-    let mut w = World::sized(seed, size);
-    w.cloud.most = machines as usize + 10;
-    w
-}
+use super::known::fleet;
+use super::world::{Job, LEASE_S, World, s};
 
 /// All jobs that somebody waits for are over, and every machine is answered again.
 fn all_over(w: &World) {
