--- a/src/bookkeeping/tests.rs
+++ b/src/bookkeeping/tests.rs
@@ -260,3 +260,23 @@
     v.put("fq/l/a/2", &segment(2, &gone), 21);
     assert_eq!(v.jobs["run-1"].placed, 0);
 }
+
+/// Keys were read anew while a withdrawal was answered: the new view did not hold it yet,
+/// and the word made from it would have told others that there was none.
+#[test]
+fn a_view_read_anew_knows_what_it_lacks() {
+    let mut old = View::new(8);
+    let rec = JobRec { spec: Some(JobSpec::example("run-1")), end: None, parcels: 1, at_ms: 0, shares: Vec::new() };
+    old.put("fq/j/run-1", &to_value(&rec), 4);
+    old.reached(8);
+    let mut new = View::loading(8, 9);
+    new.put("fq/j/run-1", &to_value(&rec), 4);
+    // The answer came between the pages and the end of the load.
+    old.put("fq/j/run-1", &to_value(&JobRec { end: Some(Status::Withdrawn), ..rec }), 10);
+    new.loaded();
+    new.follows(&old);
+    assert_eq!((new.revision, new.learned(), new.withdrawn_since(8).count()), (9, 10, 0));
+    assert!(!new.has_all_learned() && old.has_all_learned());
+    new.reached(10);
+    assert!(new.has_all_learned());
+}
