Tests of room that nobody sees, and of more work than room over slow links

Change: four tests of the claim that no job waits for 90 s beside room once the troubles are over. Links of the world can be slow.

--- /dev/null
+++ b/tests/meetings/room.rs
@@ -0,0 +1,145 @@
+//! More work than room, and room that nobody sees: once the troubles are over, no job
+//! waits for 90 s while a machine that fits has room and its team is under its limit (the
+//! world checks that from `calm_from` on).
+
+use super::{all_over, fleet, withdraw};
+use crate::known::all_are_known;
+use crate::recovery::seeds;
+use crate::running;
+use crate::world::{Job, World, array, gang, service};
+use rand::RngExt;
+
+fn capped(j: Job) -> Job {
+    Job { team: "capped".into(), ..j }
+}
+
+/// Urgent work and idle, arrays with an aim and without, gangs, and a team at its limit
+/// come to several times the room, over links that take up to half a second, with ends of
+/// leaders beside.
+#[test]
+fn more_work_than_room_over_slow_links() {
+    for seed in 0..seeds(2) {
+        let mut w = fleet(9900 + seed, [7, 3][seed as usize % 2], 12);
+        w.slow_links = Some((0.02, [0.1, 0.5][seed as usize % 2]));
+        for n in 0..3 {
+            w.submit(&format!("run-1{n}2"), Job { idle: true, ..array(80, 6.0) });
+        }
+        for n in 0..40u32 {
+            let at = w.rng.random_range(4.0..60.0);
+            let (uid, job) = match n % 5 {
+                0 => (format!("run-2{n:02}9"), service(2 + n % 3)),
+                1 => (format!("run-2{n:02}2"), Job { aimed: true, ..array(20, 6.0) }),
+                2 => (format!("run-2{n:02}1"), gang(2 + n % 3)),
+                3 => (format!("run-2{n:02}3"), capped(array(6, 8.0))),
+                _ => (format!("run-2{n:02}2"), array(30, 6.0)),
+            };
+            let (a, b) = (uid.clone(), uid);
+            w.later(at, move |w| w.submit(&a, job));
+            if n % 10 == 0 {
+                w.later(at + 25.0, move |w| withdraw(w, &b, None));
+            }
+        }
+        for at in [30.0, 50.0] {
+            w.later(at, |w| {
+                let leader = w.store.leader().unwrap_or(0);
+                w.crash(leader);
+            });
+        }
+        w.later(90.0, |w| w.slow_links = None);
+        w.calm_from(90.0);
+        w.run_until(280.0);
+        all_over(&w);
+        all_are_known(&mut w);
+    }
+}
+
+/// All machines of one controller end while it holds shares of what waits, and it stays
+/// without any for as long as no cloud gives it more: others have room for its share.
+#[test]
+fn shares_leave_a_controller_without_room() {
+    for seed in 0..seeds(4) {
+        let mut w = fleet(9920 + seed, 3, 18);
+        w.cloud.most = 18;
+        w.submit("run-999", service(18));
+        w.run_until(12.0);
+        w.cloud.most = 0;
+        w.submit("run-101", array(100, 4.0));
+        w.submit("run-102", array(60, 6.0));
+        w.run_until(13.0);
+        let node = seed as usize % 3;
+        let there: Vec<String> = w.workers.values().filter(|x| x.node == node).map(|x| x.name.clone()).collect();
+        assert!(!there.is_empty(), "seed {seed}");
+        for name in &there {
+            w.workers.remove(name);
+            w.cloud.machines.remove(name);
+        }
+        w.calm_from(14.0);
+        w.run_until(160.0);
+        all_over(&w);
+        assert_eq!(running(&w, "run-999"), 18, "seed {seed}");
+    }
+}
+
+/// A team comes to its limit, its record turns strict, and half of what it runs goes:
+/// what waits of it starts, whoever holds it, with the leader ending in between.
+#[test]
+fn a_team_goes_on_from_its_limit() {
+    for seed in 0..seeds(6) {
+        let mut w = fleet(9940 + seed, [3, 7][seed as usize % 2], 16);
+        for n in 0..4 {
+            w.submit(&format!("run-3{n}9"), capped(Job { cores: 1.0, ..service(2) }));
+        }
+        w.run_until(15.0);
+        for n in 0..4 {
+            w.submit(&format!("run-4{n}3"), capped(array(4, 8.0)));
+        }
+        w.later(20.0, |w| {
+            let leader = w.store.leader().unwrap_or(0);
+            w.crash(leader);
+        });
+        for n in 0..2 {
+            w.later(20.0 + 0.3 * f64::from(n), move |w| withdraw(w, &format!("run-3{n}9"), None));
+        }
+        w.calm_from(22.0);
+        w.run_until(200.0);
+        all_over(&w);
+        assert_eq!((2..4).map(|n| running(&w, &format!("run-3{n}9"))).sum::<usize>(), 4, "seed {seed}");
+    }
+}
+
+/// Machines fail all they start, hear nothing, hang or are cut off for a while, all of
+/// them at some time, and are well again: what they failed is tried there once more, and
+/// none stays shut.
+#[test]
+fn machines_that_are_well_again_take_work() {
+    for seed in 0..seeds(6) {
+        let mut w = fleet(9960 + seed, 3, 12);
+        w.cloud.most = 12;
+        w.run_until(8.0);
+        for n in 0..6 {
+            w.submit(&format!("run-5{n}4"), array(12, 10.0));
+        }
+        let names: Vec<String> = w.workers.keys().cloned().collect();
+        for (i, name) in names.into_iter().enumerate() {
+            let from = 9.0 + w.rng.random_range(0.0..10.0);
+            let to = from + w.rng.random_range(5.0..30.0);
+            let with =
+                move |f: fn(&mut World, &str, bool), name: String, on: bool| move |w: &mut World| f(w, &name, on);
+            let f: fn(&mut World, &str, bool) = match i % 4 {
+                0 => |w, name, on| w.workers.get_mut(name).into_iter().for_each(|x| x.sick = on),
+                1 => |w, name, on| w.workers.get_mut(name).into_iter().for_each(|x| x.deaf = on),
+                2 => |w, name, on| w.hang(name, on),
+                _ => |w, name, on| w.cut_worker(name, on),
+            };
+            w.later(from, with(f, name.clone(), true));
+            w.later(to, with(f, name, false));
+        }
+        // Later all of them are needed, each with all its room.
+        w.later(80.0, |w| w.submit("run-599", service(96)));
+        w.calm_from(50.0);
+        w.run_until(240.0);
+        all_over(&w);
+        assert_eq!(running(&w, "run-599"), 96, "seed {seed}");
+        all_are_known(&mut w);
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -172,6 +172,8 @@
     /// Such a part of transactions is carried out at once, and its answer comes so many
     /// seconds late; after the controller's time-out, not at all.
     pub late_answers: Option<(f64, (f64, f64))>,
+    /// All messages take so many seconds more.
+    pub slow_links: Option<(f64, f64)>,
     /// Such a part of reports is kept, and comes to every controller once more as soon as
     /// another leader begins.
     pub copies_for_next: Option<f64>,
@@ -289,6 +291,7 @@
             late_writes: None,
             late_pushes: None,
             late_answers: None,
+            slow_links: None,
             copies_for_next: None,
             kept: Vec::new(),
             kept_until: 0,
@@ -382,7 +385,8 @@
     }
 
     fn lag(&mut self) -> f64 {
-        self.rng.random_range(0.001..0.006)
+        let slow = self.slow_links.map_or(0.0, |(from, to)| self.rng.random_range(from..to));
+        slow + self.rng.random_range(0.001..0.006)
     }
 
     pub fn add_worker(&mut self, name: &str) {
