Writes under way: one pure place that knows what settles each

Cause: a transaction whose answer is lost hangs until it is given up, though the watch shows within some 0.2 s what was carried out. Change: coordination::writes keeps what is under way and tells what settles it: all its puts at one revision, or a change that voids it. Not used yet.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -287,6 +287,23 @@
     }
 }
 
+/// Whether the key, once there, is there for good.
+pub fn lasts(key: &str) -> bool {
+    match parse_key(key) {
+        Some(Key::Lead | Key::Member(_) | Key::Host(_) | Key::Chunk(..)) | None => false,
+        Some(
+            Key::Term
+            | Key::Packs
+            | Key::Catalog
+            | Key::Upkeep
+            | Key::Block(_)
+            | Key::Job(_)
+            | Key::Team(_)
+            | Key::Log(..),
+        ) => true,
+    }
+}
+
 pub fn to_value<T: Serialize>(rec: &T) -> Value {
     Value::serialized(rec).expect("records are plain data")
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -10,3 +10,4 @@
 pub mod parts;
 pub mod session;
 pub mod warrant;
+pub mod writes;
