A write is settled by the first proof of any kind

Cause: where only the answer of a transaction was lost, acceptances and withdrawals hung for a report interval, segments held back the log, and repeats joined what hung. Change: what the watch or a load shows settles a write as its answer would; repeats of a submission are decided by a fresh read; users are refused within the time that is kept for their answers.

--- a/src/controller/commit.rs
+++ b/src/controller/commit.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use crate::bookkeeping::segment::Facts;
+use crate::coordination::writes::Proof;
 
 /// What a transaction was for.
 #[derive(Debug)]
@@ -58,6 +59,33 @@
     }
 }
 
+/// How a transaction ended, by whatever proof came first.
+#[derive(Debug)]
+pub(super) enum Ended {
+    /// Carried out, by the change of this revision.
+    Done(u64),
+    /// Never carried out: these keys had changed, as of a revision; all of them may have
+    /// where none is named.
+    Void { failed: Vec<String>, revision: u64 },
+    /// Not carried out: the store said no.
+    Refused(u16),
+    /// It may be carried out yet.
+    Unknown,
+}
+
+impl Ended {
+    fn of(result: &Result<Reply, NoAnswer>) -> Ended {
+        let Ok(r) = result else { return Ended::Unknown };
+        let ledger = crate::protocol::decode::<store::Ledger>(&r.body);
+        match (r.status, ledger) {
+            (200, Ok(l)) => Ended::Done(l.ledger_no),
+            (409, Ok(l)) => Ended::Void { failed: l.failed, revision: l.ledger_no },
+            (200, Err(_)) => Ended::Unknown,
+            (status, _) => Ended::Refused(status),
+        }
+    }
+}
+
 /// Transactions of one kind since the last summary.
 #[derive(Debug, Default)]
 pub(super) struct Writes {
@@ -116,11 +144,16 @@
 
     /// Sends a transaction; its keys are left alone until it is answered.
     pub(super) fn txn(&mut self, txn: Txn, why: Why) {
+        self.txn_within(txn, why, self.report_s(1.0));
+    }
+
+    /// The same, given up after `timeout`.
+    pub(super) fn txn_within(&mut self, txn: Txn, why: Why, timeout: Duration) {
         let mut keys: Vec<String> = txn.conds.iter().map(|c| c.key.clone()).collect();
         keys.retain(|k| !k.starts_with("fq/h/") && !k.starts_with(records::BLOCKS) && k != records::LEAD_KEY);
         // A team's record that is only looked at keeps nobody else from it.
         keys.retain(|k| !k.starts_with(records::TEAMS) || puts(&txn, k));
-        self.send_txn(txn, why, keys);
+        self.send_txn_within(txn, why, keys, timeout);
     }
 
     /// Sends a transaction that keeps `keys` busy until it is answered.
@@ -128,7 +161,6 @@
         self.send_txn_within(txn, why, keys, self.report_s(1.0));
     }
 
-    /// The same, given up after `timeout`.
     pub(super) fn send_txn_within(&mut self, txn: Txn, why: Why, keys: Vec<String>, timeout: Duration) {
         self.writes.spend(self.now, txn.ops.len() as f64);
         let written = self.written.entry(why.name()).or_default();
@@ -136,58 +168,76 @@
         written.changes += txn.ops.len();
         self.busy.extend(keys.iter().cloned());
         let body = crate::protocol::encode(&txn);
-        self.call(
-            Target::State,
-            "POST",
-            store::TXN.into(),
-            Some(body),
-            timeout,
-            Purpose::Txn { txn, why, keys, sent: self.now },
-        );
-    }
-
-    pub(super) fn txn_answer(&mut self, txn: Txn, why: Why, result: Result<Reply, NoAnswer>) {
-        let ledger = |r: &Reply| crate::protocol::decode::<store::Ledger>(&r.body).ok().map(|l| l.ledger_no);
-        let done = match &result {
-            Ok(r) if r.status == 200 => ledger(r),
-            _ => None,
-        };
-        if let Some(revision) = done {
-            self.view.learn(revision);
-            for op in &txn.ops {
-                // Deletes wait for the watch: it could still bring an older put.
-                if let store::Op::Put { key, data, .. } = op {
-                    self.view.put(key, data, revision);
+        let id = self.next_call;
+        self.open_writes.sent(id, &txn, self.view.learned());
+        let purpose = Purpose::Txn { txn, why, keys, sent: self.now };
+        self.call(Target::State, "POST", store::TXN.into(), Some(body), timeout, purpose);
+    }
+
+    /// What the store has shown settles what is under way; a later answer finds nothing.
+    /// The watch has brought what was put; of a read's rows the view may lack some.
+    pub(super) fn settle(&mut self, by_read: bool) {
+        for (id, proof) in self.open_writes.settled() {
+            let Some(Purpose::Txn { txn, why, keys, sent }) = self.calls.remove(&id) else { continue };
+            let ended = match proof {
+                Proof::Done(revision) => Ended::Done(revision),
+                Proof::Void { key, revision } => Ended::Void { failed: vec![key], revision },
+            };
+            if let Ended::Done(revision) = ended {
+                self.retry.ended(Retry::Write, Outcome::Answered, self.now);
+                if by_read {
+                    self.view_puts(&txn, revision);
                 }
             }
-            self.dirty = true;
+            tracing::debug!(kind = why.name(), ?ended, "settled by what the store shows");
+            self.txn_ended(txn, why, &keys, sent, ended);
         }
-        let status = result.as_ref().map_or(0, |r| r.status);
-        if done.is_none() {
-            self.written.entry(why.name()).or_default().failed += 1;
-            let changed = result.as_ref().ok().and_then(|r| crate::protocol::decode::<store::Ledger>(&r.body).ok());
-            let changed = changed.map(|l| l.failed).unwrap_or_default();
-            tracing::debug!(status, ?why, ?changed, "transaction not carried out");
+    }
+
+    pub(super) fn txn_answer(&mut self, purpose: (Txn, Why, Vec<String>, Instant), result: &Result<Reply, NoAnswer>) {
+        let (txn, why, keys, sent) = purpose;
+        let ended = Ended::of(result);
+        if let Ended::Done(revision) = ended {
+            self.view_puts(&txn, revision);
+        }
+        self.txn_ended(txn, why, &keys, sent, ended);
+    }
+
+    fn view_puts(&mut self, txn: &Txn, revision: u64) {
+        self.view.learn(revision);
+        for op in &txn.ops {
+            // Deletes wait for the watch: it could still bring an older put.
+            if let store::Op::Put { key, data, .. } = op {
+                self.view.put(key, data, revision);
+            }
         }
-        if done.is_some() {
+    }
+
+    /// What follows from the end of a transaction. What it put is in the view.
+    fn txn_ended(&mut self, txn: Txn, why: Why, keys: &[String], sent: Instant, ended: Ended) {
+        let took = self.now.saturating_sub(sent).as_millis() as u64;
+        self.txn_ms.saturating_record(took);
+        for k in keys {
+            self.busy.remove(k);
+        }
+        if matches!(ended, Ended::Done(_)) {
+            self.dirty = true;
             self.record_changed(&txn);
+        } else {
+            self.written.entry(why.name()).or_default().failed += 1;
+            tracing::debug!(?ended, ?why, "transaction not carried out");
         }
         match why {
-            Why::Accept(uid) => {
-                let beaten = result.ok().filter(|r| r.status == 409).and_then(|r| ledger(&r));
-                self.accept_answer(&uid, done.is_some(), status, beaten);
-            }
-            Why::Withdraw(uid) => self.withdraw_answer(&uid, done.is_some(), status),
-            Why::Segment { facts, parts } => self.segment_answer(&txn, facts, parts, &result),
+            Why::Accept(uid) => self.accept_answer(&uid, &ended),
+            Why::Withdraw(uid) => self.withdraw_answer(&uid, &ended),
+            Why::Segment { facts, parts } => self.segment_answer(&txn, facts, parts, &ended),
             Why::Fold => {
                 self.folding = false;
                 self.dirty = true;
-                if status == 409 {
-                    self.note_outdated(&txn, &result);
-                }
+                self.note_outdated(&txn, &ended);
             }
-            Why::Close if status == 409 => {
-                self.note_outdated(&txn, &result);
+            Why::Close => {
+                self.note_outdated(&txn, &ended);
             }
             Why::Enrol => self.enrol_rentals(),
             _ => {}
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -28,6 +28,7 @@
 use crate::coordination::machine::Machine;
 use crate::coordination::parts::Parts;
 use crate::coordination::session::Session;
+use crate::coordination::writes::Writes as OpenWrites;
 use crate::effects::{Action, CallId, ConnId, Event, Instant, NoAnswer, Reply, Target};
 use crate::links::account::Deaf;
 use crate::links::hearing::{At, Hearing, News};
@@ -149,13 +150,21 @@
     Lasting,
 }
 
+/// What a user asked about a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Asked {
+    /// To run it, again: a submission of it is under way.
+    Submitted,
+    State,
+    Withdrawn,
+}
+
 /// A query that waits for a read barrier.
 #[derive(Debug)]
 struct Query {
     conn: ConnId,
     uid: String,
-    /// The user asked to withdraw the job rather than for its state.
-    withdraw: bool,
+    asked: Asked,
     stage: Stage,
     until: Instant,
 }
@@ -234,8 +243,10 @@
     types_next: Instant,
     types_busy: bool,
     queries: Vec<Query>,
-    accepting: HashMap<String, Vec<ConnId>>,
-    withdrawing: HashMap<String, Vec<ConnId>>,
+    /// Submissions whose acceptance is under way: one user each.
+    accepting: HashMap<String, ConnId>,
+    /// Withdrawals to be stored, and until when their users wait.
+    withdrawing: HashMap<String, Vec<(ConnId, Instant)>>,
     held: Vec<HeldReport>,
     machines: BTreeMap<String, Machine>,
     /// The state of the view's machine records that `machines` follows.
@@ -245,6 +256,8 @@
     images: HashMap<String, Images>,
     beats: usize,
     changes: BTreeMap<String, Change>,
+    /// Transactions under way, and what settles them.
+    open_writes: OpenWrites,
     busy: BTreeSet<String>,
     log: Writer,
     /// Checkpoints are under way.
@@ -398,6 +411,7 @@
             images: HashMap::new(),
             beats: 0,
             changes: BTreeMap::new(),
+            open_writes: OpenWrites::default(),
             busy: BTreeSet::new(),
             log: Writer::default(),
             folding: false,
@@ -684,12 +698,8 @@
             Purpose::Push { machine, grant } => self.push_answer(id, &machine, grant, result),
             Purpose::Probe { machine, known } => self.probe_answer(machine, known, result),
             Purpose::Txn { txn, why, keys, sent } => {
-                let took = self.now.saturating_sub(sent).as_millis() as u64;
-                self.txn_ms.saturating_record(took);
-                for k in &keys {
-                    self.busy.remove(k);
-                }
-                self.txn_answer(txn, why, result);
+                self.open_writes.ended(id);
+                self.txn_answer((txn, why, keys, sent), &result);
             }
         }
     }
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -1,5 +1,6 @@
 //! Requests of users: submissions, queries, withdrawals, health.
 
+use super::commit::Ended;
 use super::*;
 use crate::coordination::health::{Facts, healthy};
 use crate::links::table::Peer;
@@ -83,9 +84,9 @@
         if !self.ses.following() || self.types.is_empty() {
             return self.refuse(conn, 503, "not ready");
         }
-        if let Some(conns) = self.accepting.get_mut(&spec.uid) {
-            conns.push(conn);
-            return;
+        if self.accepting.contains_key(&spec.uid) {
+            // Its user may have been told more elsewhere than that it is accepted.
+            return self.ask(conn, &spec.uid, Asked::Submitted);
         }
         // Without the store nothing can be accepted: say so rather than wait.
         if !self.fresh() {
@@ -109,35 +110,34 @@
             conds: vec![Cond { key: key.clone(), entry_no: 0 }],
             ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
         };
-        self.accepting.insert(uid.clone(), vec![conn]);
-        self.txn(txn, Why::Accept(uid));
+        self.accepting.insert(uid.clone(), conn);
+        self.txn_within(txn, Why::Accept(uid), self.answered_within());
     }
 
-    pub(super) fn accept_answer(&mut self, uid: &str, done: bool, status: u16, beaten: Option<u64>) {
-        let conns = self.accepting.remove(uid).unwrap_or_default();
-        if done {
-            if let Some(j) = self.view.jobs.get(uid) {
-                let to: Vec<&str> = j.rec.rec.shares.iter().map(|s| s.member.as_str()).collect();
-                tracing::debug!(job = %uid, class = %j.spec.docket, tasks = j.spec.parcels, ?to, "accepted");
-            }
-            let body = encode(&JobState { uid: uid.into(), status: Status::Pending, done: 0, running: 0 });
-            for conn in conns {
-                self.respond(conn, 201, body.clone());
-            }
-            return;
-        }
-        for conn in conns {
-            match beaten {
-                // Known already, though not to this view: say what the store says.
-                Some(revision) => {
-                    let until = self.now + self.report_s(0.75);
-                    let stage = Stage::Need(revision);
-                    self.queries.push(Query { conn, uid: uid.to_string(), withdraw: false, stage, until });
+    pub(super) fn accept_answer(&mut self, uid: &str, ended: &Ended) {
+        let Some(conn) = self.accepting.remove(uid) else { return };
+        match ended {
+            Ended::Done(_) => {
+                if let Some(j) = self.view.jobs.get(uid) {
+                    let to: Vec<&str> = j.rec.rec.shares.iter().map(|s| s.member.as_str()).collect();
+                    tracing::debug!(job = %uid, class = %j.spec.docket, tasks = j.spec.parcels, ?to, "accepted");
                 }
-                // It may have been stored all the same; a repeat will find out.
-                None if status == 429 => self.put_off(conn, "not stored"),
-                None => self.refuse(conn, 503, "not stored"),
+                // By the watch, more may be known by now.
+                if self.view.status(uid).is_some_and(|s| s.0 != Status::Pending) {
+                    return self.tell(conn, uid);
+                }
+                let body = encode(&JobState { uid: uid.into(), status: Status::Pending, done: 0, running: 0 });
+                self.respond(conn, 201, body);
+            }
+            // Known already, though perhaps not to this view: say what the store says.
+            Ended::Void { revision, .. } => {
+                let until = self.now + self.answered_within();
+                let stage = Stage::Need(*revision);
+                self.queries.push(Query { conn, uid: uid.to_string(), asked: Asked::Submitted, stage, until });
             }
+            Ended::Refused(429) => self.put_off(conn, "not stored"),
+            // It may have been stored all the same; a repeat will find out.
+            Ended::Refused(_) | Ended::Unknown => self.refuse(conn, 503, "not stored"),
         }
     }
 
@@ -175,12 +175,17 @@
         if !self.ses.following() {
             return self.refuse(conn, 503, "not ready");
         }
-        self.ask(conn, uid, false);
+        self.ask(conn, uid, Asked::State);
     }
 
-    fn ask(&mut self, conn: ConnId, uid: &str, withdraw: bool) {
-        let until = self.now + self.report_s(0.75).min(self.secs(USERS_WAIT_S * ANSWERED_WITHIN));
-        self.queries.push(Query { conn, uid: uid.to_string(), withdraw, stage: Stage::Queued, until });
+    /// So long a user's request is worked on.
+    fn answered_within(&self) -> Duration {
+        self.report_s(0.75).min(self.secs(USERS_WAIT_S * ANSWERED_WITHIN))
+    }
+
+    fn ask(&mut self, conn: ConnId, uid: &str, asked: Asked) {
+        let until = self.now + self.answered_within();
+        self.queries.push(Query { conn, uid: uid.to_string(), asked, stage: Stage::Queued, until });
     }
 
     fn tell(&mut self, conn: ConnId, uid: &str) {
@@ -200,10 +205,11 @@
         let (go, wait): (Vec<Query>, Vec<Query>) = std::mem::take(&mut self.queries).into_iter().partition(ready);
         self.queries = wait;
         for q in go {
-            if q.withdraw && self.view.jobs.contains_key(&q.uid) {
-                self.withdraw(q.conn, &q.uid);
-            } else {
-                self.tell(q.conn, &q.uid);
+            match (q.asked, self.view.status(&q.uid)) {
+                (Asked::Withdrawn, Some(_)) => self.withdraw(q.conn, &q.uid),
+                // Not accepted by then; ours may be yet.
+                (Asked::Submitted, None) => self.refuse(q.conn, 503, "not stored yet"),
+                (Asked::State | Asked::Submitted, _) | (Asked::Withdrawn, None) => self.tell(q.conn, &q.uid),
             }
         }
     }
@@ -232,10 +238,11 @@
         }
         if !self.view.jobs.contains_key(uid) {
             // Accepted elsewhere a moment ago, perhaps: a fresh read decides.
-            return self.ask(conn, uid, true);
+            return self.ask(conn, uid, Asked::Withdrawn);
         }
+        let until = self.now + self.answered_within();
         let conns = self.withdrawing.entry(uid.to_string()).or_default();
-        conns.push(conn);
+        conns.push((conn, until));
         if conns.len() == 1 {
             self.send_withdraw(uid);
         }
@@ -252,21 +259,17 @@
             conds: vec![Cond { key: key.clone(), entry_no: job.rec.version }],
             ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
         };
-        self.txn(txn, Why::Withdraw(uid.to_string()));
+        self.txn_within(txn, Why::Withdraw(uid.to_string()), self.answered_within());
     }
 
-    pub(super) fn withdraw_answer(&mut self, uid: &str, done: bool, status: u16) {
-        let conns = self.withdrawing.remove(uid).unwrap_or_default();
-        for conn in conns {
-            if done {
-                self.tell(conn, uid);
-            } else if status == 409 {
+    pub(super) fn withdraw_answer(&mut self, uid: &str, ended: &Ended) {
+        for (conn, _) in self.withdrawing.remove(uid).unwrap_or_default() {
+            match ended {
+                Ended::Done(_) => self.tell(conn, uid),
                 // The record moved on; the user repeats and meets the new one.
-                self.refuse(conn, 503, "changed meanwhile");
-            } else if status == 429 {
-                self.put_off(conn, "not stored");
-            } else {
-                self.refuse(conn, 503, "not stored");
+                Ended::Void { .. } => self.refuse(conn, 503, "changed meanwhile"),
+                Ended::Refused(429) => self.put_off(conn, "not stored"),
+                Ended::Refused(_) | Ended::Unknown => self.refuse(conn, 503, "not stored"),
             }
         }
         let machines: Vec<String> = self.machines.keys().cloned().collect();
@@ -275,18 +278,34 @@
         }
     }
 
-    /// Withdrawals that found their job's record in another transaction.
+    /// Withdrawals that found their job's record in another transaction, or that another
+    /// controller stored.
     fn withdraw_tick(&mut self) {
         let uids: Vec<String> = self.withdrawing.keys().cloned().collect();
         for uid in uids {
             match self.view.status(&uid) {
-                Some((Status::Done | Status::Withdrawn, ..)) | None => {
-                    for conn in self.withdrawing.remove(&uid).unwrap_or_default() {
+                Some((Status::Done | Status::Withdrawn, ..)) => {
+                    for (conn, _) in self.withdrawing.remove(&uid).unwrap_or_default() {
                         self.tell(conn, &uid);
                     }
                 }
                 Some(_) => self.send_withdraw(&uid),
+                // A view read anew may lack what the one before had.
+                None => {
+                    for (conn, _) in self.withdrawing.remove(&uid).unwrap_or_default() {
+                        self.ask(conn, &uid, Asked::Withdrawn);
+                    }
+                }
             }
         }
+        let now = self.now;
+        let mut late = Vec::new();
+        self.withdrawing.retain(|_, conns| {
+            late.extend(conns.extract_if(.., |c| c.1 <= now));
+            !conns.is_empty()
+        });
+        for (conn, _) in late {
+            self.refuse(conn, 503, "not stored yet");
+        }
     }
 }
--- a/src/controller/segments.rs
+++ b/src/controller/segments.rs
@@ -2,6 +2,7 @@
 //! next segment, over all jobs and machines; checkpoints of chunks free the slots
 //! for later ones. A start is ordered only once its segment is in the store.
 
+use super::commit::Ended;
 use super::quota::{FAR_FROM_LIMIT, limited};
 use super::*;
 use crate::bookkeeping::Job;
@@ -363,14 +364,13 @@
         txn: &Txn,
         facts: BTreeMap<String, Facts>,
         parts: Vec<(String, Amounts)>,
-        result: &Result<Reply, NoAnswer>,
+        ended: &Ended,
     ) {
         self.log.busy = false;
         self.dirty = true;
         let now = self.now;
-        let status = result.as_ref().map_or(0, |r| r.status);
-        let carried_out = status == 200;
-        if result.is_err() {
+        let carried_out = matches!(ended, Ended::Done(_));
+        if matches!(ended, Ended::Unknown) {
             // Not known, until the slot is written.
             self.log.doubt.extend(parts);
         } else {
@@ -378,7 +378,7 @@
                 self.parts.entry(team).or_default().answered(amounts, Some(carried_out), now);
             }
         }
-        let slot_lost = status == 409 && self.note_outdated(txn, result);
+        let slot_lost = self.note_outdated(txn, ended);
         if carried_out || slot_lost {
             // Ours took the slot, and voids what was in doubt; or that did.
             for (team, amounts) in std::mem::take(&mut self.log.doubt) {
@@ -404,19 +404,15 @@
 
     /// Remembers which records had changed, until the view shows it; whether the
     /// log's slot was one of them.
-    pub(super) fn note_outdated(&mut self, txn: &Txn, result: &Result<Reply, NoAnswer>) -> bool {
-        let Some(ledger) = result.as_ref().ok().and_then(|r| crate::protocol::decode::<store::Ledger>(&r.body).ok())
-        else {
-            return false;
-        };
-        let mut failed = ledger.failed;
-        if failed.is_empty() {
-            failed.extend(txn.conds.iter().map(|c| c.key.clone()));
-        }
+    pub(super) fn note_outdated(&mut self, txn: &Txn, ended: &Ended) -> bool {
+        let Ended::Void { failed, revision } = ended else { return false };
+        let all = txn.conds.iter().map(|c| &c.key).filter(|_| failed.is_empty());
         let mut slot = false;
-        for key in failed {
+        for key in failed.iter().chain(all) {
             slot |= key.starts_with(LOG);
-            self.outdated.insert(key, ledger.ledger_no);
+            if *revision > self.view.revision {
+                self.outdated.insert(key.clone(), *revision);
+            }
         }
         slot
     }
--- a/src/controller/sync.rs
+++ b/src/controller/sync.rs
@@ -180,6 +180,7 @@
 
     fn reload(&mut self) {
         tracing::info!("watch fell behind, reading all keys again");
+        self.open_writes.gap();
         self.ses.restart_load(self.now);
     }
 
@@ -190,6 +191,7 @@
         }
         for row in &rows.rows {
             self.scan.put(&row.key, &row.data, row.entry_no);
+            self.open_writes.shows(&row.key, Some(&row.data), row.entry_no);
         }
         if let Some(last) = rows.rows.last()
             && rows.truncated
@@ -225,6 +227,7 @@
             machines = self.view.hosts.len(),
             "state loaded"
         );
+        self.settle(true);
         self.view_changed();
         // What workers wait for begins with these; none of them waits for a tick.
         self.follow_tick();
@@ -241,14 +244,17 @@
             self.view.reached(n.entry_no.saturating_sub(1));
             if let (Some(key), Some(data)) = (&n.put, &n.data) {
                 self.view.put(key, data, n.entry_no);
+                self.open_writes.changed(key, Some(data), n.entry_no);
             }
             if let Some(key) = &n.delete {
                 self.view.delete(key, n.entry_no);
+                self.open_writes.changed(key, None, n.entry_no);
             }
         }
         self.dirty |= !f.news.is_empty();
         self.view.reached(f.ledger_no);
         self.ses.reached(self.view.revision);
+        self.settle(false);
         self.view_changed();
     }
 }
