What users asked is one closed table

Cause: submissions, questions and withdrawals were kept in three places of the controller, each with its own idea of what may be told. A repeated submission joined one under way and could be told less than others had told since; a withdrawal whose job a view read anew lacked got 404.

--- a/src/controller/commit.rs
+++ b/src/controller/commit.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::bookkeeping::segment::Facts;
 use crate::coordination::writes::Proof;
+use crate::requests::Asked;
 
 /// What a transaction was for.
 #[derive(Debug)]
@@ -228,8 +229,8 @@
             tracing::debug!(?ended, ?why, "transaction not carried out");
         }
         match why {
-            Why::Accept(uid) => self.accept_answer(&uid, &ended),
-            Why::Withdraw(uid) => self.withdraw_answer(&uid, &ended),
+            Why::Accept(uid) => self.request_written(&uid, Asked::Submitted, &ended),
+            Why::Withdraw(uid) => self.request_written(&uid, Asked::Withdrawn, &ended),
             Why::Segment { facts, parts } => self.segment_answer(&txn, facts, parts, &ended),
             Why::Fold => {
                 self.folding = false;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -39,6 +39,7 @@
 use crate::protocol::store::{self, Txn};
 use crate::protocol::worker::Report;
 use crate::recovery::phase::Start;
+use crate::requests::{Event as RequestEvent, Requests};
 use crate::retry::{Outcome, Purpose as Retry, Retries, Returns};
 use crate::settings::Settings;
 use crate::upkeep::campaign::{Ticket, Wait};
@@ -135,13 +136,6 @@
     ]
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    Queued,
-    Asked,
-    Need(u64),
-}
-
 /// Which of the tasks placed on a machine take up its room.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Counted {
@@ -150,25 +144,6 @@
     Lasting,
 }
 
-/// What a user asked about a job.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Asked {
-    /// To run it, again: a submission of it is under way.
-    Submitted,
-    State,
-    Withdrawn,
-}
-
-/// A query that waits for a read barrier.
-#[derive(Debug)]
-struct Query {
-    conn: ConnId,
-    uid: String,
-    asked: Asked,
-    stage: Stage,
-    until: Instant,
-}
-
 /// A report that waits for a grant to be made or seen.
 #[derive(Debug)]
 struct HeldReport {
@@ -242,11 +217,7 @@
     types: Vec<MachineType>,
     types_next: Instant,
     types_busy: bool,
-    queries: Vec<Query>,
-    /// Submissions whose acceptance is under way: one user each.
-    accepting: HashMap<String, ConnId>,
-    /// Withdrawals to be stored, and until when their users wait.
-    withdrawing: HashMap<String, Vec<(ConnId, Instant)>>,
+    asked: Requests,
     held: Vec<HeldReport>,
     machines: BTreeMap<String, Machine>,
     /// The state of the view's machine records that `machines` follows.
@@ -401,9 +372,7 @@
             types: Vec::new(),
             types_next: Duration::ZERO,
             types_busy: false,
-            queries: Vec::new(),
-            accepting: HashMap::new(),
-            withdrawing: HashMap::new(),
+            asked: Requests::default(),
             held: Vec::new(),
             machines: BTreeMap::new(),
             adopted: None,
@@ -763,7 +732,7 @@
             }
         }
         self.retry_held();
-        self.answer_queries();
+        self.answer_requests(RequestEvent::View(self.view.revision));
     }
 }
 
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -7,6 +7,7 @@
 use crate::protocol::store::{Cond, Op};
 use crate::protocol::user::{ErrorBody, Form, JobSpec, JobState, Route, Status, route, valid_uid};
 use crate::protocol::{decode, encode};
+use crate::requests::{Answer, Asked, Event, Known, Request, Stage, Written};
 use crate::retry::Side;
 
 /// Seconds after which a client is told to come back.
@@ -84,8 +85,10 @@
         if !self.ses.following() || self.types.is_empty() {
             return self.refuse(conn, 503, "not ready");
         }
-        if self.accepting.contains_key(&spec.uid) {
-            // Its user may have been told more elsewhere than that it is accepted.
+        let key = records::job_key(&spec.uid);
+        if self.busy.contains(&key) {
+            // Ours is under way; its user may have been told more elsewhere than that
+            // it is accepted.
             return self.ask(conn, &spec.uid, Asked::Submitted);
         }
         // Without the store nothing can be accepted: say so rather than wait.
@@ -93,11 +96,10 @@
             return self.refuse(conn, 503, "the state service does not answer");
         }
         if self.never_runs(&spec) {
-            return self.refuse(conn, 422, "can never run");
+            return self.ask(conn, &spec.uid, Asked::Impossible);
         }
-        let key = records::job_key(&spec.uid);
         // Submissions go before all other writes, and may borrow from them.
-        if self.busy.contains(&key) || self.writes.level(self.now) < -self.writes.rate {
+        if self.writes.level(self.now) < -self.writes.rate {
             return self.put_off(conn, "too many submissions");
         }
         let uid = spec.uid.clone();
@@ -110,37 +112,11 @@
             conds: vec![Cond { key: key.clone(), entry_no: 0 }],
             ops: vec![Op::Put { key, data: records::to_value(&rec), lease: None }],
         };
-        self.accepting.insert(uid.clone(), conn);
+        let until = self.now + self.answered_within();
+        self.asked.came(conn, &uid, Asked::Submitted, Stage::Writing, until);
         self.txn_within(txn, Why::Accept(uid), self.answered_within());
     }
 
-    pub(super) fn accept_answer(&mut self, uid: &str, ended: &Ended) {
-        let Some(conn) = self.accepting.remove(uid) else { return };
-        match ended {
-            Ended::Done(_) => {
-                if let Some(j) = self.view.jobs.get(uid) {
-                    let to: Vec<&str> = j.rec.rec.shares.iter().map(|s| s.member.as_str()).collect();
-                    tracing::debug!(job = %uid, class = %j.spec.docket, tasks = j.spec.parcels, ?to, "accepted");
-                }
-                // By the watch, more may be known by now.
-                if self.view.status(uid).is_some_and(|s| s.0 != Status::Pending) {
-                    return self.tell(conn, uid);
-                }
-                let body = encode(&JobState { uid: uid.into(), status: Status::Pending, done: 0, running: 0 });
-                self.respond(conn, 201, body);
-            }
-            // Known already, though perhaps not to this view: say what the store says.
-            Ended::Void { revision, .. } => {
-                let until = self.now + self.answered_within();
-                let stage = Stage::Need(*revision);
-                self.queries.push(Query { conn, uid: uid.to_string(), asked: Asked::Submitted, stage, until });
-            }
-            Ended::Refused(429) => self.put_off(conn, "not stored"),
-            // It may have been stored all the same; a repeat will find out.
-            Ended::Refused(_) | Ended::Unknown => self.refuse(conn, 503, "not stored"),
-        }
-    }
-
     /// Unknown team, no machine type for a task, or more than the team's limit.
     fn never_runs(&self, spec: &JobSpec) -> bool {
         let Some(team) = self.set.settings.teams.iter().find(|t| t.name == spec.desk) else {
@@ -185,7 +161,7 @@
 
     fn ask(&mut self, conn: ConnId, uid: &str, asked: Asked) {
         let until = self.now + self.answered_within();
-        self.queries.push(Query { conn, uid: uid.to_string(), asked, stage: Stage::Queued, until });
+        self.asked.came(conn, uid, asked, Stage::Queued, until);
     }
 
     fn tell(&mut self, conn: ConnId, uid: &str) {
@@ -198,30 +174,61 @@
         }
     }
 
-    /// Answers queries whose barrier the view has reached.
-    pub(super) fn answer_queries(&mut self) {
-        let revision = self.view.revision;
-        let ready = |q: &Query| matches!(q.stage, Stage::Need(n) if n <= revision);
-        let (go, wait): (Vec<Query>, Vec<Query>) = std::mem::take(&mut self.queries).into_iter().partition(ready);
-        self.queries = wait;
-        for q in go {
-            match (q.asked, self.view.status(&q.uid)) {
-                (Asked::Withdrawn, Some(_)) => self.withdraw(q.conn, &q.uid),
-                // Not accepted by then; ours may be yet.
-                (Asked::Submitted, None) => self.refuse(q.conn, 503, "not stored yet"),
-                (Asked::State | Asked::Submitted, _) | (Asked::Withdrawn, None) => self.tell(q.conn, &q.uid),
+    /// Something happened that requests may wait for.
+    pub(super) fn answer_requests(&mut self, event: Event) {
+        let view = &self.view;
+        let told = self.asked.event(event, |uid| known(view, uid));
+        self.answer_with(told);
+        for uid in self.asked.withdrawing() {
+            self.send_withdraw(&uid);
+        }
+    }
+
+    /// A write ended that was made because users asked this about the job.
+    pub(super) fn request_written(&mut self, uid: &str, asked: Asked, ended: &Ended) {
+        let how = match ended {
+            Ended::Done(_) => Written::Done,
+            Ended::Void { revision, .. } => Written::Void(*revision),
+            Ended::Refused(429) => Written::Limited,
+            Ended::Refused(_) | Ended::Unknown => Written::Failed,
+        };
+        let view = &self.view;
+        let told = self.asked.written(uid, asked, how, |uid| known(view, uid));
+        self.answer_with(told);
+        if asked == Asked::Withdrawn {
+            let machines: Vec<String> = self.machines.keys().cloned().collect();
+            for m in machines {
+                self.push(&m);
+            }
+        } else if let Some(j) = self.view.jobs.get(uid).filter(|_| how == Written::Done) {
+            let to: Vec<&str> = j.rec.rec.shares.iter().map(|s| s.member.as_str()).collect();
+            tracing::debug!(job = %uid, class = %j.spec.docket, tasks = j.spec.parcels, ?to, "accepted");
+        }
+    }
+
+    fn answer_with(&mut self, told: Vec<(Request, Answer)>) {
+        for (r, answer) in told {
+            match answer {
+                Answer::Accepted => {
+                    let state = JobState { uid: r.uid.into(), status: Status::Pending, done: 0, running: 0 };
+                    self.respond(r.conn, 201, encode(&state));
+                }
+                Answer::Tell => self.tell(r.conn, &r.uid),
+                Answer::Unknown => self.refuse(r.conn, 404, "no such job"),
+                Answer::NeverRuns => self.refuse(r.conn, 422, "can never run"),
+                Answer::Limited => self.put_off(r.conn, "not stored"),
+                // It may have been stored all the same; a repeat will find out.
+                Answer::Later => self.refuse(r.conn, 503, "not known yet"),
             }
         }
     }
 
     pub(super) fn requests_tick(&mut self) {
-        self.withdraw_tick();
-        let now = self.now;
-        let (late, wait): (Vec<Query>, Vec<Query>) =
-            std::mem::take(&mut self.queries).into_iter().partition(|q| q.until <= now);
-        self.queries = wait;
-        for q in late {
-            self.refuse(q.conn, 503, "the state service does not answer");
+        let view = &self.view;
+        let told = self.asked.due(self.now, |uid| known(view, uid));
+        self.answer_with(told);
+        for uid in self.asked.withdrawing() {
+            self.send_withdraw(&uid);
         }
     }
 
@@ -241,17 +248,14 @@
             return self.ask(conn, uid, Asked::Withdrawn);
         }
         let until = self.now + self.answered_within();
-        let conns = self.withdrawing.entry(uid.to_string()).or_default();
-        conns.push((conn, until));
-        if conns.len() == 1 {
-            self.send_withdraw(uid);
-        }
+        self.asked.came(conn, uid, Asked::Withdrawn, Stage::Writing, until);
+        self.send_withdraw(uid);
     }
 
     fn send_withdraw(&mut self, uid: &str) {
         let key = records::job_key(uid);
         if self.busy.contains(&key) {
-            return; // taken up again by `withdraw_tick`
+            return; // taken up again by the next tick
         }
         let Some(job) = self.view.jobs.get(uid) else { return };
         let rec = records::JobRec { end: Some(Status::Withdrawn), ..job.rec.rec.clone() };
@@ -261,51 +265,14 @@
         };
         self.txn_within(txn, Why::Withdraw(uid.to_string()), self.answered_within());
     }
+}
 
-    pub(super) fn withdraw_answer(&mut self, uid: &str, ended: &Ended) {
-        for (conn, _) in self.withdrawing.remove(uid).unwrap_or_default() {
-            match ended {
-                Ended::Done(_) => self.tell(conn, uid),
-                // The record moved on; the user repeats and meets the new one.
-                Ended::Void { .. } => self.refuse(conn, 503, "changed meanwhile"),
-                Ended::Refused(429) => self.put_off(conn, "not stored"),
-                Ended::Refused(_) | Ended::Unknown => self.refuse(conn, 503, "not stored"),
-            }
-        }
-        let machines: Vec<String> = self.machines.keys().cloned().collect();
-        for m in machines {
-            self.push(&m);
-        }
-    }
-
-    /// Withdrawals that found their job's record in another transaction, or that another
-    /// controller stored.
-    fn withdraw_tick(&mut self) {
-        let uids: Vec<String> = self.withdrawing.keys().cloned().collect();
-        for uid in uids {
-            match self.view.status(&uid) {
-                Some((Status::Done | Status::Withdrawn, ..)) => {
-                    for (conn, _) in self.withdrawing.remove(&uid).unwrap_or_default() {
-                        self.tell(conn, &uid);
-                    }
-                }
-                Some(_) => self.send_withdraw(&uid),
-                // A view read anew may lack what the one before had.
-                None => {
-                    for (conn, _) in self.withdrawing.remove(&uid).unwrap_or_default() {
-                        self.ask(conn, &uid, Asked::Withdrawn);
-                    }
-                }
-            }
-        }
-        let now = self.now;
-        let mut late = Vec::new();
-        self.withdrawing.retain(|_, conns| {
-            late.extend(conns.extract_if(.., |c| c.1 <= now));
-            !conns.is_empty()
-        });
-        for (conn, _) in late {
-            self.refuse(conn, 503, "not stored yet");
-        }
+/// What the view has of a job, for the table.
+fn known(view: &View, uid: &str) -> Known {
+    match view.status(uid).map(|s| s.0) {
+        None => Known::Nothing,
+        Some(Status::Pending) => Known::Pending,
+        Some(Status::Running) => Known::Running,
+        Some(Status::Done | Status::Withdrawn) => Known::Over,
     }
 }
--- a/src/controller/sync.rs
+++ b/src/controller/sync.rs
@@ -55,19 +55,14 @@
     /// Reads what proves the view fresh, where somebody waits for it or it is time.
     fn barrier_tick(&mut self) {
         let now = self.now;
-        let due = self.queries.iter().any(|q| q.stage == Stage::Queued)
-            || self.ses.staleness(now).is_none_or(|s| s > self.report_s(0.25));
+        let due = self.asked.queued() || self.ses.staleness(now).is_none_or(|s| s > self.report_s(0.25));
         let may = self.ses.barrier_pace.may(now) && self.retry.may(Retry::Barrier, now);
         if !due || self.ses.barrier_busy || !may {
             return;
         }
         self.ses.barrier_busy = true;
         self.ses.barrier_pace.take(now);
-        for q in &mut self.queries {
-            if q.stage == Stage::Queued {
-                q.stage = Stage::Asked;
-            }
-        }
+        self.answer_requests(RequestEvent::ReadSent);
         self.ses.barrier_sent = now;
         let path = store::key_path(records::BARRIER_KEY);
         let timeout = self.report_s(0.5);
@@ -162,17 +157,13 @@
                     Ok(r) if r.status == 404 => decode::<Ledger>(&r.body).ok(),
                     _ => None,
                 };
-                for q in self.queries.iter_mut().filter(|q| q.stage == Stage::Asked) {
-                    match &ledger {
-                        Some(l) => q.stage = Stage::Need(l.ledger_no),
-                        None => q.until = now,
-                    }
-                }
+                let read = ledger.as_ref().map_or(RequestEvent::ReadFailed, |l| RequestEvent::Read(l.ledger_no));
+                self.answer_requests(read);
                 if let Some(l) = ledger {
                     self.ses.barriers.push((l.ledger_no, self.ses.barrier_sent));
                     self.ses.reached(self.view.revision);
                 }
-                self.answer_queries();
+                self.answer_requests(RequestEvent::View(self.view.revision));
             }
             _ => {}
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod placement;
 pub use finchquay_protocol as protocol;
 pub mod recovery;
+pub mod requests;
 pub mod retry;
 pub mod settings;
 pub mod transport;
