--- a/src/requests/tests.rs
+++ b/src/requests/tests.rs
@@ -55,6 +55,8 @@
         assert!(next != Next::Answer(Answer::NeverRuns) || asked == Asked::Impossible, "{told}");
         // invented: 201 only by our write, to who submitted it.
         assert!(next != Next::Answer(Answer::Accepted) || (stored && asked == Asked::Submitted), "{told}");
+        // Nor is less told than the view has.
+        assert!(next != Next::Answer(Answer::Accepted) || known != Known::Running, "{told}");
         // A withdrawal is told by the view's state alone, once it is written.
         let lives = matches!(known, Known::Pending | Known::Running);
         if asked == Asked::Withdrawn && next == Next::Answer(Answer::Tell) {
