One account of writes, which owes nothing for what was refused

Cause: in an outage of the store each controller sent a user's withdrawal as often as it was repeated, past the retry policy, and the account of writes charged all of these with no floor: hundreds of changes of debt, paid off at some seven a second, and nothing but withdrawals was written for 53 to 85 s.

Change: one account (coordination/account.rs). Withdrawals and what everything waits for go first, then acceptances and ends, starts of services, arrays; who waited for a second, or four writes' time, has one write. Every kind of transaction passes the retry policy; users are told 503 or 429 at once. For two report intervals after an outage all controllers have equal parts of the limit: users crowd at all alike, and the leader used half of its own.

Tests: account/tests.rs, and tests/meetings/outage.rs (outages of 5 to 300 s with users who withdraw and submit throughout).

--- a/src/controller/blocks.rs
+++ b/src/controller/blocks.rs
@@ -19,7 +19,10 @@
     pub(super) fn grant_blocks(&mut self) {
         for member in self.view.restarted() {
             let key = records::block_key(&member);
-            let Some(m) = self.view.members.get(&member).filter(|_| !self.busy.contains(&key)) else { continue };
+            if self.busy.contains(&key) || !self.may_write_as(Order::First) {
+                continue;
+            }
+            let Some(m) = self.view.members.get(&member) else { continue };
             self.epoch += 1;
             let rec = BlockRec { incarnation: m.rec.incarnation, term: self.term(), epoch: self.epoch };
             tracing::debug!(to = %member, "block granted again");
@@ -57,7 +60,7 @@
                 self.gather_next = now + self.report_s(GATHERED_REPORTS);
             }
         }
-        let may = if first { self.may_write_first() } else { self.may_write(moves.len() as f64) };
+        let may = if first { self.may_write_as(Order::First) } else { self.may_write(moves.len() as f64) };
         if moves.is_empty() || !may {
             return;
         }
--- a/src/controller/commit.rs
+++ b/src/controller/commit.rs
@@ -67,35 +67,6 @@
     pub(super) failed: u32,
 }
 
-/// A rate limit with bursts worth one second.
-#[derive(Debug)]
-pub(super) struct Bucket {
-    pub(super) rate: f64,
-    pub(super) level: f64,
-    pub(super) at: Instant,
-}
-
-impl Bucket {
-    pub(super) fn new(rate: f64) -> Bucket {
-        Bucket { rate, level: rate, at: Duration::ZERO }
-    }
-
-    pub(super) fn level(&self, now: Instant) -> f64 {
-        let dt = now.saturating_sub(self.at).as_secs_f64();
-        (self.level + dt * self.rate).min(self.rate.max(1.0))
-    }
-
-    /// Whether `n` may be spent; a full bucket will do for more than it holds.
-    pub(super) fn has(&self, now: Instant, n: f64) -> bool {
-        self.level(now) >= n.min(self.rate.max(1.0))
-    }
-
-    pub(super) fn spend(&mut self, now: Instant, n: f64) {
-        self.level = self.level(now) - n;
-        self.at = now;
-    }
-}
-
 /// Whether the transaction writes the key, rather than only look at it.
 fn puts(txn: &Txn, key: &str) -> bool {
     txn.ops.iter().any(|op| matches!(op, store::Op::Put { key: k, .. } if k == key))
@@ -107,11 +78,9 @@
         self.retry.may(Retry::Write, self.now) && self.writes.has(self.now, n)
     }
 
-    /// Whether changes may be written that everything else waits for. They may
-    /// overdraw: under load, submissions and starts of services keep the level
-    /// below nothing for as long as the load lasts.
-    pub(super) fn may_write_first(&self) -> bool {
-        self.retry.may(Retry::Write, self.now) && self.writes.level(self.now) > -self.writes.rate
+    /// Whether a change of this order may be written now, though others wait.
+    pub(super) fn may_write_as(&mut self, order: Order) -> bool {
+        self.retry.may(Retry::Write, self.now) && self.writes.admits(order, self.now)
     }
 
     /// Sends a transaction; its keys are left alone until it is answered.
@@ -130,7 +99,8 @@
 
     /// The same, given up after `timeout`.
     pub(super) fn send_txn_within(&mut self, txn: Txn, why: Why, keys: Vec<String>, timeout: Duration) {
-        self.writes.spend(self.now, txn.ops.len() as f64);
+        debug_assert!(self.retry.may(Retry::Write, self.now), "{} goes past the retry policy", why.name());
+        let charge = self.writes.charge(self.now, txn.ops.len() as f64);
         let written = self.written.entry(why.name()).or_default();
         written.sent += 1;
         written.changes += txn.ops.len();
@@ -142,7 +112,7 @@
             store::TXN.into(),
             Some(body),
             timeout,
-            Purpose::Txn { txn, why, keys, sent: self.now },
+            Purpose::Txn { txn, why, keys, charge, sent: self.now },
         );
     }
 
--- a/src/controller/enrol.rs
+++ b/src/controller/enrol.rs
@@ -57,7 +57,10 @@
     /// conditional on none having a record of its own, and such records on no
     /// pack having been written meanwhile.
     pub(super) fn enrol_rentals(&mut self) {
-        if self.busy.contains(records::PACKS_KEY) || !self.am_leader() {
+        if self.busy.contains(records::PACKS_KEY) || !self.am_leader() || self.unrecorded.is_empty() {
+            return;
+        }
+        if !self.may_write_as(Order::First) {
             return;
         }
         let Some((offer, mut names)) = self.unrecorded.pop_front() else { return };
--- a/src/controller/fleet.rs
+++ b/src/controller/fleet.rs
@@ -39,7 +39,7 @@
             return;
         }
         self.types_busy = true;
-        self.cloud.spend(self.now, 1.0);
+        self.cloud.charge(self.now, 1.0);
         self.types_next = self.now + self.secs(self.set.settings.workers.lease_s);
         let timeout = self.report_s(2.0);
         self.call(Target::Cloud, "GET", CATALOG.into(), None, timeout, Purpose::Catalog);
@@ -73,7 +73,7 @@
         self.fleet_next = now + self.report_s(0.25).min(lag);
         if !self.list_busy && now >= self.list_next && self.may_ask(Retry::List) {
             self.list_busy = true;
-            self.cloud.spend(self.now, 1.0);
+            self.cloud.charge(self.now, 1.0);
             self.list_new.clear();
             self.list_page("");
         }
@@ -421,7 +421,7 @@
             if !self.may_ask(Retry::Rent) {
                 return;
             }
-            self.cloud.spend(self.now, 1.0);
+            self.cloud.charge(self.now, 1.0);
             self.renting += 1;
             self.charter += 1;
             let charter = format!("fq-{}-{}", self.term(), self.charter);
--- a/src/controller/leasing.rs
+++ b/src/controller/leasing.rs
@@ -35,15 +35,21 @@
         for uid in std::mem::take(&mut self.ending) {
             let key = records::job_key(&uid);
             let Some(j) = self.view.jobs.get(&uid).filter(|j| j.complete()) else { continue };
-            // Who withdrew a job was told so long ago: that nothing is left of it can
-            // wait for writes to spare.
-            let need = if j.withdrawn() { 1.0 + self.writes.rate * SPARE_WRITES } else { 1.0 };
             // What was started just before it was withdrawn may still be on its way here.
             let known = j.rec.version <= self.view.revision;
-            if !known || self.busy.contains(&key) || self.outdated.contains_key(&key) || !self.may_write(need) {
+            let ready = known && !self.busy.contains(&key) && !self.outdated.contains_key(&key);
+            // Who withdrew a job was told so long ago: that nothing is left of it can
+            // wait for writes to spare.
+            let withdrawn = j.withdrawn();
+            let may = match () {
+                _ if !ready => false,
+                _ if withdrawn => self.may_write(1.0 + self.writes.rate * SPARE_WRITES),
+                _ => self.may_write_as(Order::Answers),
+            };
+            let Some(j) = self.view.jobs.get(&uid).filter(|_| may) else {
                 self.ending.insert(uid);
                 continue;
-            }
+            };
             let status = if j.withdrawn() { Status::Withdrawn } else { Status::Done };
             let mut txn = Txn {
                 conds: vec![Cond { key, entry_no: j.rec.version }],
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -23,6 +23,7 @@
 use crate::bookkeeping::records::{self, Versioned};
 use crate::bookkeeping::served::{self, Served};
 use crate::bookkeeping::{Amounts, Images, View};
+use crate::coordination::account::{Account, Charge, Order};
 use crate::coordination::blame::Tried;
 use crate::coordination::log::Writer;
 use crate::coordination::machine::Machine;
@@ -38,10 +39,10 @@
 use crate::protocol::store::{self, Txn};
 use crate::protocol::worker::Report;
 use crate::recovery::phase::Start;
-use crate::retry::{Outcome, Purpose as Retry, Retries, Returns};
+use crate::retry::{Outcome, Purpose as Retry, Retries, Returns, Side};
 use crate::settings::Settings;
 use crate::upkeep::campaign::{Ticket, Wait};
-use commit::{Bucket, Why, Writes};
+use commit::{Why, Writes};
 use hdrhistogram::Histogram;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
@@ -77,6 +78,7 @@
         txn: Txn,
         why: Why,
         keys: Vec<String>,
+        charge: Charge,
         sent: Instant,
     },
 }
@@ -257,12 +259,14 @@
     /// What was taken of each team's limit without changing its record.
     parts: BTreeMap<String, Parts>,
     patience: HashMap<String, Patience>,
-    writes: Bucket,
+    writes: Account,
+    /// When the store answered again after the last outage.
+    store_back_at: Option<Instant>,
     /// What was written since the last summary, by kind.
     written: BTreeMap<&'static str, Writes>,
     /// How long the state service took over transactions, in milliseconds.
     txn_ms: Histogram<u64>,
-    cloud: Bucket,
+    cloud: Account,
     links: Links,
     /// Beats came since the links were last looked at.
     links_dirty: bool,
@@ -405,10 +409,11 @@
             outdated: BTreeMap::new(),
             parts: BTreeMap::new(),
             patience: HashMap::new(),
-            writes: Bucket::new(p.state.write_rps / n * WRITE_SHARE),
+            writes: Account::new(p.state.write_rps / n * WRITE_SHARE),
+            store_back_at: None,
             written: BTreeMap::new(),
             txn_ms: Histogram::new_with_max(LONGEST_TXN_MS, 2).expect("bounds are good"),
-            cloud: Bucket::new(p.cloud.rps / n),
+            cloud: Account::new(p.cloud.rps / n),
             links: Links::new(&set.member, incarnation >> 1, beat_every),
             links_dirty: false,
             deaf: Deaf::default(),
@@ -547,14 +552,17 @@
     }
 
     /// The limits of the store and the cloud hold for all controllers
-    /// together: those that live share the first, the leader counts twice; it
-    /// alone rents, and so has most of the second.
+    /// together: those that live share the first, the leader counts twice but for
+    /// the time after an outage, when users crowd at all alike; it alone rents, and so
+    /// has most of the second.
     fn share_limits(&mut self) {
         let p = &self.set.settings;
         let others = (self.set.controllers() as f64 - 1.0).max(1.0);
         let live = (self.view.members.len() as f64).max(1.0);
         let (parts, cloud) = if self.am_leader() { (2.0, RENTER_SHARE) } else { (1.0, (1.0 - RENTER_SHARE) / others) };
-        self.writes.rate = p.state.write_rps * WRITE_SHARE * parts / (live + 1.0);
+        let alike = self.store_back_at.is_some_and(|t| self.now.saturating_sub(t) < self.report_s(CROWD_REPORTS));
+        let (parts, of) = if alike { (1.0, live) } else { (parts, live + 1.0) };
+        self.writes.rate = p.state.write_rps * WRITE_SHARE * parts / of;
         self.cloud.rate = p.cloud.rps * cloud;
     }
 
@@ -671,7 +679,12 @@
 
     fn answer(&mut self, id: CallId, purpose: Purpose, result: Result<Reply, NoAnswer>) {
         if let Some(retry) = purpose.retry() {
+            let was_away = self.retry.is_open(Side::State);
             self.retry.ended(retry, outcome(retry, &result), self.now);
+            if was_away && !self.retry.is_open(Side::State) {
+                self.writes.store_is_back(self.now);
+                self.store_back_at = Some(self.now);
+            }
         }
         match purpose {
             Purpose::Lease | Purpose::Renew | Purpose::Scan | Purpose::Follow | Purpose::Barrier => {
@@ -683,9 +696,12 @@
             Purpose::Release { machines } => self.release_answer(machines, result),
             Purpose::Push { machine, grant } => self.push_answer(id, &machine, grant, result),
             Purpose::Probe { machine, known } => self.probe_answer(machine, known, result),
-            Purpose::Txn { txn, why, keys, sent } => {
+            Purpose::Txn { txn, why, keys, charge, sent } => {
                 let took = self.now.saturating_sub(sent).as_millis() as u64;
                 self.txn_ms.saturating_record(took);
+                if result.as_ref().is_ok_and(|r| r.status == 503) {
+                    self.writes.give_back(self.now, charge);
+                }
                 for k in &keys {
                     self.busy.remove(k);
                 }
@@ -763,6 +779,8 @@
 const LONGEST_TXN_MS: u64 = 60_000;
 /// Part of the store's writes that is used: renewals and repeats need some.
 const WRITE_SHARE: f64 = 0.9;
+/// Users crowd for so many report intervals after an outage.
+const CROWD_REPORTS: f64 = 2.0;
 /// Part of the cloud's requests that the leader may use.
 const RENTER_SHARE: f64 = 0.7;
 /// Part of a second's worth of the store's requests that a start may use at once, over
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -558,7 +558,7 @@
     }
 
     pub(super) fn release(&mut self, machines: Vec<String>) {
-        self.cloud.spend(self.now, 1.0);
+        self.cloud.charge(self.now, 1.0);
         self.releasing.extend(machines.iter().cloned());
         let body = encode(&Release { machines: machines.as_slice().into() });
         let timeout = self.report_s(2.0);
--- a/src/controller/quota.rs
+++ b/src/controller/quota.rs
@@ -30,7 +30,7 @@
     /// From here on every start of the team changes its record. The view that
     /// shows this change shows all starts that did not.
     pub(super) fn near_limit(&mut self, key: String, version: u64) {
-        if self.busy.contains(&key) {
+        if self.busy.contains(&key) || !self.may_write_as(Order::First) {
             return;
         }
         let rec = records::TeamRec { strict: true, count: self.next_call };
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -50,6 +50,14 @@
         self.out.push(Action::Respond { conn, status: 429, body, retry_after });
     }
 
+    /// Refuses a change that may not be written now.
+    fn not_now(&mut self, conn: ConnId, error: &str) {
+        if self.retry.is_open(Side::State) {
+            return self.refuse(conn, 503, "the state service does not answer");
+        }
+        self.put_off(conn, error);
+    }
+
     pub(super) fn refuse(&mut self, conn: ConnId, status: u16, error: &str) {
         self.respond(conn, status, encode(&ErrorBody { error: error.into() }));
     }
@@ -95,9 +103,8 @@
             return self.refuse(conn, 422, "can never run");
         }
         let key = records::job_key(&spec.uid);
-        // Submissions go before all other writes, and may borrow from them.
-        if self.busy.contains(&key) || self.writes.level(self.now) < -self.writes.rate {
-            return self.put_off(conn, "too many submissions");
+        if self.busy.contains(&key) || !self.may_write_as(Order::Answers) {
+            return self.not_now(conn, "too many submissions");
         }
         let uid = spec.uid.clone();
         let waits: Vec<u32> = (0..spec.parcels).collect();
@@ -230,6 +237,9 @@
         if over {
             return self.tell(conn, uid);
         }
+        if self.retry.is_open(Side::State) {
+            return self.not_now(conn, "not stored");
+        }
         if !self.view.jobs.contains_key(uid) {
             // Accepted elsewhere a moment ago, perhaps: a fresh read decides.
             return self.ask(conn, uid, true);
@@ -246,6 +256,12 @@
         if self.busy.contains(&key) {
             return; // taken up again by `withdraw_tick`
         }
+        if !self.may_write_as(Order::First) {
+            for conn in self.withdrawing.remove(uid).unwrap_or_default() {
+                self.not_now(conn, "too many withdrawals");
+            }
+            return;
+        }
         let Some(job) = self.view.jobs.get(uid) else { return };
         let rec = records::JobRec { end: Some(Status::Withdrawn), ..job.rec.rec.clone() };
         let txn = Txn {
--- a/src/controller/work.rs
+++ b/src/controller/work.rs
@@ -51,14 +51,12 @@
         for s in starts {
             by_job.entry(s.uid.clone()).or_default().push(s);
         }
-        let (order, urgent) = self.write_order(&by_job);
-        // Starts of services may borrow from what waits, as submissions do; the
-        // rest goes along with them.
-        let need = if urgent { -self.writes.rate * SPARE_WRITES } else { 1.0 + self.writes.rate * ACCEPT_RESERVE };
+        // The rest goes along with what is written first.
+        let (order, urgent, first) = self.write_order(&by_job);
         if order.is_empty() {
             return;
         }
-        if !due && !urgent || !self.may_write(need) {
+        if !due && !urgent || !self.may_write_as(first) {
             self.dirty = true; // what can wait gathers
             return;
         }
@@ -72,11 +70,11 @@
         self.view.jobs.values().any(|j| soon(&j))
     }
 
-    /// Jobs with something to write down, what matters most first, and whether
-    /// any of it must start soon. Exits alone lose little by waiting, since workers
-    /// report them until they are stored; the last ones of a job are waited for
-    /// by its user.
-    fn write_order(&self, by_job: &BTreeMap<String, Vec<Start>>) -> (Vec<String>, bool) {
+    /// Jobs with something to write down, what matters most first, whether any of
+    /// it must start soon, and in which order all of it goes. Exits alone lose little
+    /// by waiting, since workers report them until they are stored; the last ones of
+    /// a job are waited for by its user.
+    fn write_order(&self, by_job: &BTreeMap<String, Vec<Start>>) -> (Vec<String>, bool, Order) {
         let uids: BTreeSet<&String> = by_job.keys().chain(self.changes.keys()).collect();
         let mut order: Vec<(u8, f64, &String)> = Vec::new();
         let mut urgent = false;
@@ -106,7 +104,8 @@
             order.push((rank, -weight, uid));
         }
         order.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
-        (order.into_iter().map(|o| o.2.clone()).collect(), urgent)
+        let first = if order.iter().any(|o| matches!(o.0, 1 | 2)) { Order::Services } else { Order::Arrays };
+        (order.into_iter().map(|o| o.2.clone()).collect(), urgent, first)
     }
 
     /// Whether nothing of the job is left on this controller's machines, nor
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,6 +1,7 @@
 //! How the controllers agree: leases and leadership, blocks of machines,
 //! warrants, freshness of reads. State machines without sockets or clocks.
 
+pub mod account;
 pub mod blame;
 pub mod blocks;
 pub mod health;
