--- a/tests/meetings/mod.rs
+++ b/tests/meetings/mod.rs
@@ -8,6 +8,7 @@
 mod outage;
 mod room;
 mod troubles;
+mod withdrawals;
 
 use super::known::fleet;
 use super::world::{Job, LEASE_S, World, s};
--- /dev/null
+++ b/tests/meetings/withdrawals.rs
@@ -0,0 +1,241 @@
+//! Withdrawals that meet other troubles: a team at its limit and machines out of reach,
+//! work that changes hands, a gap with machines that hang, a stream of short jobs at the
+//! limits of writes.
+
+use super::{all_over, withdraw};
+use crate::running;
+use crate::world::{CANCEL_S, Job, LEASE_S, SMALL, Size, World, array, gang, service};
+use rand::RngExt;
+
+/// Machines that run something of the job.
+fn machines_of(w: &World, uid: &str) -> Vec<String> {
+    let there = |x: &&crate::world::worker::Worker| x.tasks.values().any(|t| t.job == uid);
+    w.workers.values().filter(there).map(|x| x.name.clone()).collect()
+}
+
+/// What keeps a machine from being told, and for how long.
+fn out_of_reach(w: &mut World, name: &str, way: u64, for_s: f64) {
+    let (now, name) = (w.now.as_secs_f64(), name.to_string());
+    match way % 3 {
+        0 => {
+            w.cut_worker(&name, true);
+            w.later(now + for_s, move |w| w.cut_worker(&name, false));
+        }
+        1 => {
+            w.hang(&name, true);
+            w.later(now + for_s, move |w| w.hang(&name, false));
+        }
+        _ => {
+            w.workers.get_mut(&name).unwrap().deaf = true;
+            w.later(now + for_s, move |w| w.workers.get_mut(&name).into_iter().for_each(|x| x.deaf = false));
+        }
+    }
+}
+
+/// The team has taken all of its limit; jobs of it are withdrawn whose machines are cut
+/// off, hang or hear nothing, and the leader ends. Their places count until they are
+/// proved gone (the world looks at the limit at every step), and then others have them.
+#[test]
+fn a_team_at_its_limit_while_machines_are_out_of_reach() {
+    for seed in 0..6 {
+        let size = Size { machines: 16, team_max: 24.0, write_rps: 60.0, ..SMALL };
+        let mut w = World::sized(9950 + seed, size);
+        w.cloud.most = 24;
+        let capped = |n: u32| Job { team: "capped".into(), ..array(n, 1e6) };
+        for n in 0..4 {
+            w.submit(&format!("run-1{n}9"), capped(3));
+        }
+        w.run_until(12.0);
+        for n in 0..4 {
+            w.submit(&format!("run-2{n}9"), capped(3));
+        }
+        w.run_until(20.0);
+        let count = |w: &World, kind: &str| (0..4).map(|n| running(w, &format!("run-{kind}{n}9"))).sum::<usize>();
+        assert_eq!((count(&w, "1"), count(&w, "2")), (12, 0), "seed {seed}: the team is not at its limit");
+        let for_s = [3.0, LEASE_S * 0.8, LEASE_S * 1.7][seed as usize % 3];
+        for uid in ["run-109", "run-119"] {
+            for name in machines_of(&w, uid) {
+                out_of_reach(&mut w, &name, seed, for_s);
+            }
+            withdraw(&mut w, uid, None);
+        }
+        let leader = w.store.leader().expect("somebody leads");
+        w.restart_s = if seed % 2 == 0 { 0.2 } else { 30.0 };
+        w.later(21.5, move |w| w.crash(leader));
+        w.run_until(20.0 + for_s.min(LEASE_S) + CANCEL_S);
+        assert!(["run-109", "run-119"].iter().all(|uid| w.jobs[*uid].withdrawn_at.is_some()), "seed {seed}");
+        assert_eq!(running(&w, "run-109") + running(&w, "run-119"), 0, "seed {seed}");
+        let all = count(&w, "1") + count(&w, "2");
+        assert_eq!(all, 12, "seed {seed}: the room of what was withdrawn has not come back");
+    }
+}
+
+/// Some work of each kind, here and waiting, of which a third leaves in the seconds after
+/// 20 s.
+fn work(w: &mut World) -> Vec<String> {
+    let mut leave = Vec::new();
+    for n in 0..24 {
+        let at = if n % 4 == 3 { w.rng.random_range(19.0..24.0) } else { w.rng.random_range(1.0..8.0) };
+        let uid = format!("run-3{n:02}9");
+        let job = match n % 3 {
+            0 => service(2),
+            1 => Job { run_s: 1e6, ..gang(2) },
+            _ => array(6, 1e6),
+        };
+        let name = uid.clone();
+        w.later(at, move |w| w.submit(&name, job));
+        if n % 3 == n / 3 % 3 || n % 4 == 3 {
+            leave.push(uid);
+        }
+    }
+    leave
+}
+
+/// Both owners live, or the first is gone, or back at once with a new incarnation, while
+/// machines are granted, shares let anew and segments on their way.
+#[test]
+fn work_changes_hands_while_its_jobs_are_withdrawn() {
+    let (mut told, mut segments) = (0, 0);
+    for seed in 0..9 {
+        let size = Size { machines: 24, write_rps: 60.0, zones: &["a", "b"], ..SMALL };
+        let mut w = World::sized(9960 + seed, size);
+        w.cloud.most = 30;
+        let leave = work(&mut w);
+        w.run_until(20.0);
+        let node = (w.store.leader().expect("somebody leads") + seed as usize) % 3;
+        match seed % 3 {
+            0 => {
+                w.nodes[node].deaf = true;
+                w.later(50.0, move |w| w.nodes[node].deaf = false);
+            }
+            1 => {
+                w.restart_s = 40.0;
+                w.crash(node);
+            }
+            _ => {
+                w.restart_s = w.rng.random_range(0.02..0.9);
+                w.crash(node);
+            }
+        }
+        let ledger = w.store.ledger();
+        for (n, uid) in leave.iter().enumerate() {
+            // While machines are granted, at the moment of a start, and after.
+            let at = w.rng.random_range(20.1..[22.0, 26.0, 32.0][n % 3]);
+            let uid = uid.clone();
+            w.later(at, move |w| {
+                if w.jobs.get(&uid).is_some_and(|j| j.accepted) {
+                    w.call_off(&uid);
+                } else if w.jobs.contains_key(&uid) {
+                    withdraw(w, &uid, None);
+                }
+            });
+        }
+        w.run_until(32.0);
+        segments += w.store.changes("fq/l/", ledger);
+        w.run_until(30.0 + CANCEL_S * 1.5);
+        for uid in leave.iter().filter(|uid| w.jobs[*uid].withdraw_asked) {
+            assert!(w.jobs[uid].withdrawn_at.is_some(), "seed {seed}: {uid} waits");
+            assert_eq!(machines_of(&w, uid).len(), 0, "seed {seed}: {uid} is still there");
+            told += 1;
+        }
+        assert_eq!(w.started_withdrawn, 0, "seed {seed}: starts after a confirmed withdrawal");
+        all_over_but_long(&w);
+    }
+    assert!(told >= 60 && segments >= 100, "{told} withdrawals, {segments} segments beside them");
+}
+
+/// What nobody withdrew runs, all of it.
+fn all_over_but_long(w: &World) {
+    for (uid, j) in w.jobs.iter().filter(|(_, j)| !j.withdraw_asked) {
+        assert_eq!(running(w, uid), j.tasks as usize, "seed {}: {uid} does not run", w.seed);
+    }
+}
+
+/// The store refuses the leader alone at the moment of the withdrawals, and a second later
+/// everybody, for longer than `cancel_s`; machines hang when they are told to kill, and go
+/// on within their lease or after it.
+#[test]
+fn the_gap_begins_with_the_withdrawals_and_machines_hang() {
+    let mut told = 0;
+    for seed in 0..8 {
+        let mut w = World::sized(9970 + seed, Size { machines: 8, ..SMALL });
+        w.cloud.most = 8;
+        let leave = ["run-109", "run-209", "run-309", "run-409"];
+        let jobs = [array(2, 1e6), array(8, 1e6), Job { run_s: 1e6, ..gang(2) }, service(4)];
+        for (uid, j) in leave.iter().zip(jobs) {
+            w.submit(uid, j);
+        }
+        w.submit("run-509", service(8));
+        w.run_until(20.0);
+        assert!(leave.iter().all(|uid| running(&w, uid) > 0), "seed {seed}: nothing to withdraw");
+        let leader = w.store.leader().expect("somebody leads");
+        w.nodes[leader].refused = true;
+        // Users of one node at a time get no answer from the leader.
+        leave.iter().for_each(|uid| (0..4).for_each(|_| w.call_off(uid)));
+        let (at, hang_s) = (20.0 + 0.3 * (seed / 2) as f64, [LEASE_S * 0.6, LEASE_S * 1.5][seed as usize % 2]);
+        let hang: Vec<String> = leave.iter().flat_map(|uid| machines_of(&w, uid)).take(4).collect();
+        for name in hang {
+            let again = name.clone();
+            w.later(at, move |w| w.hang(&name, true));
+            w.later(at + hang_s, move |w| w.hang(&again, false));
+        }
+        w.later(21.0, |w| w.store.set_down(w.now, true));
+        w.run_until(21.0);
+        told += leave.iter().filter(|uid| w.jobs[**uid].withdrawn_at.is_some()).count();
+        w.run_until(21.0 + CANCEL_S * 1.4);
+        w.store.set_down(w.now, false);
+        w.nodes[leader].refused = false;
+        w.run_until(21.0 + CANCEL_S * 1.4 + 30.0);
+        for uid in leave {
+            let over = w.jobs[uid].withdrawn_at.is_some() && running(&w, uid) == 0;
+            assert!(over, "seed {seed}: {uid} is still there");
+        }
+        assert_eq!(running(&w, "run-509"), 8, "seed {seed}");
+        assert_eq!(w.started_withdrawn, 0, "seed {seed}: starts after a confirmed withdrawal");
+    }
+    assert!(told >= 24, "{told} of 32 withdrawals were confirmed before the outage");
+}
+
+/// Four a second, a quarter withdrawn at once, with so few writes that users are put off:
+/// what was accepted begins within seconds, and the records are those of what is under way.
+#[test]
+fn a_stream_of_one_task_jobs_at_the_limits_of_writes() {
+    let size = Size { machines: 16, write_rps: 14.0, zones: &["a", "b"], ..SMALL };
+    let mut w = World::sized(9980, size);
+    w.cloud.most = 16;
+    w.run_until(10.0);
+    let (from_s, for_s) = (10.0, 150.0);
+    for n in 0..(for_s as u32 * 4) {
+        let at = from_s + 0.25 * f64::from(n);
+        let uid = format!("run-4{n:03}0");
+        let name = uid.clone();
+        w.later(at, move |w| w.submit(&name, array(1, 2.0)));
+        if n % 4 == 0 {
+            let after = w.rng.random_range(0.3..3.0);
+            w.later(at + after, move |w| withdraw(w, &uid, None));
+        }
+    }
+    let mut waits: std::collections::BTreeMap<String, f64> = Default::default();
+    let (mut longest, mut most) = (0.0, 0);
+    while w.now.as_secs_f64() < from_s + for_s {
+        let now = w.now.as_secs_f64() + 0.5;
+        w.run_until(now);
+        for (uid, j) in w.jobs.iter().filter(|(_, j)| j.accepted) {
+            let begun = !j.done.is_empty() || running(&w, uid) > 0;
+            if begun || j.withdraw_asked {
+                waits.remove(uid);
+            } else {
+                let since = *waits.entry(uid.clone()).or_insert(now);
+                longest = f64::max(longest, now - since);
+            }
+        }
+        most = most.max(w.store.count("fq/t/"));
+    }
+    assert!(longest <= 5.0, "a job that was accepted waited for {longest} s beside room");
+    assert!(most <= 100, "{most} checkpoints");
+    w.calm_from(from_s + for_s);
+    w.run_until(from_s + for_s + 30.0);
+    all_over(&w);
+    assert_eq!(w.started_withdrawn, 0, "starts after a confirmed withdrawal");
+    assert_eq!(w.store.count("fq/t/"), 0, "records of jobs that are over are left");
+}
