A write that fails alone holds no other back

Users' submissions and withdrawals pass the retry policy now, whose pause after one write without an answer would have put all of them off: with a quarter of the answers lost, most of the time. A lone failure between answers is no reason to wait; two in a row pause, three open the breaker, as before.

Test: retry::tests::a_write_that_fails_alone_holds_no_other_back, red without the exception.

--- a/src/retry.rs
+++ b/src/retry.rs
@@ -5,6 +5,7 @@
 //!
 //! - After a failure a purpose pauses, up to twice as long with each further
 //!   one, by full jitter: controllers that failed together come back apart.
+//!   A write that fails alone, between answers to others, holds none back.
 //! - Several failures in a row of whatever purposes open the breaker of that
 //!   side. While it is open only probes go, one at a time, at their own pace.
 //!   The first answer closes it and ends every pause: what waited for the side
@@ -131,6 +132,8 @@
                 }
             }
         }
+        // Writes are many at a time: where one alone gets no answer, others do.
+        let lone = purpose == Purpose::Write && outcome == Outcome::Failed && self.failures[&side] == 1;
         let base = self.base.get(&purpose).copied().unwrap_or_default();
         let s = self.state.entry(purpose).or_default();
         if outcome == Outcome::Answered {
@@ -140,6 +143,9 @@
         s.failed += 1;
         let most = base * 2u32.pow(s.failures.min(DOUBLINGS));
         s.failures += 1;
+        if lone {
+            return;
+        }
         // Half of it is certain, so that a loop of failures is never a flood.
         s.not_before = now + base / 2 + most.mul_f64(self.rng.random_range(0.0..1.0));
     }
@@ -232,6 +238,20 @@
         assert_eq!(r.after(s(60.0), 50.0), 1, "the crowd is gone");
     }
 
+    /// A quarter of all writes got no answer: all others would have waited most of the time.
+    #[test]
+    fn a_write_that_fails_alone_holds_no_other_back() {
+        let mut r = retries(1);
+        for n in 0..20 {
+            r.ended(Purpose::Write, Outcome::Failed, s(f64::from(n)));
+            assert!(r.may(Purpose::Write, s(f64::from(n))));
+            r.ended(Purpose::Write, Outcome::Answered, s(f64::from(n)));
+        }
+        r.ended(Purpose::Write, Outcome::Failed, s(30.0));
+        r.ended(Purpose::Write, Outcome::Failed, s(30.0));
+        assert!(!r.may(Purpose::Write, s(30.1)), "two in a row are no chance");
+    }
+
     /// Writes over the limit are no outage: reads and renewals go on.
     #[test]
     fn limits_and_refusals_open_nothing() {
