What arrays have goes along with starts of services

An array whose turn had come waited on where a start of a service was asked for next to it: the one transaction that holds both goes as soon as either may.

--- a/src/coordination/account.rs
+++ b/src/coordination/account.rs
@@ -103,8 +103,11 @@
     /// Whether a write in this order goes now; one that may not is remembered as
     /// waiting for as long as it is asked for again.
     pub fn admits(&mut self, order: Order, now: Instant) -> bool {
-        let leaves = if self.overdue(order, now) { Order::First } else { order }.leaves();
-        let owed = Order::ALL.into_iter().filter(|o| *o > order && self.overdue(*o, now)).count();
+        // What arrays have goes along with starts of services, in one transaction.
+        let along = |o: Order| order == Order::Services && o == Order::Arrays;
+        let overdue = Order::ALL.into_iter().any(|o| (o == order || along(o)) && self.overdue(o, now));
+        let leaves = if overdue { Order::First } else { order }.leaves();
+        let owed = Order::ALL.into_iter().filter(|o| *o > order && !along(*o) && self.overdue(*o, now)).count();
         let need = (1.0 + leaves * self.worth()).min(self.worth()) + owed as f64;
         let goes = self.level(now) >= need;
         let patience = self.patience();
@@ -112,7 +115,7 @@
         let since = wait.filter(|w| now <= w.asked + patience).map_or(now, |w| w.since);
         *wait = (!goes).then_some(Wait { since, asked: now });
         if goes && order == Order::Services {
-            self.waits[Order::Arrays as usize] = None; // they go along in one transaction
+            self.waits[Order::Arrays as usize] = None;
         }
         goes
     }
--- a/src/coordination/account/tests.rs
+++ b/src/coordination/account/tests.rs
@@ -49,6 +49,11 @@
                 let n = *o as usize;
                 gap[n] = f64::max(gap[n], t - last[n]);
                 (sent[n], last[n]) = (sent[n] + 1, t);
+                if *o == Order::Services {
+                    // What arrays have goes along.
+                    let n = Order::Arrays as usize;
+                    (gap[n], last[n]) = (f64::max(gap[n], t - last[n]), t);
+                }
             }
         }
         t += 0.01;
