--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -11,6 +11,7 @@
 //! - Who is not answered in time is told to come back.
 
 use crate::effects::{ConnId, Instant};
+use std::collections::BTreeSet;
 
 /// What a user asked about a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -162,7 +163,7 @@
     }
 
     /// Jobs that are to be withdrawn, by writes of ours.
-    pub fn withdrawing(&self) -> Vec<String> {
+    pub fn withdrawing(&self) -> BTreeSet<String> {
         let writing = |r: &&Request| r.asked == Asked::Withdrawn && r.stage == Stage::Writing;
         self.open.iter().filter(writing).map(|r| r.uid.clone()).collect()
     }
--- a/src/requests/tests.rs
+++ b/src/requests/tests.rs
@@ -113,7 +113,7 @@
     let mut r = Requests::default();
     r.came(1, "run-1", Asked::Submitted, Stage::Writing, s(2));
     r.came(2, "run-2", Asked::Withdrawn, Stage::Writing, s(3));
-    assert_eq!(r.withdrawing(), vec!["run-2".to_string()]);
+    assert!(r.withdrawing().iter().eq(["run-2"]));
     let late = r.due(s(2), |_| Known::Pending);
     assert_eq!(late.iter().map(|(r, a)| (r.conn, *a)).collect::<Vec<_>>(), vec![(1, Answer::Later)]);
     assert!(r.due(s(2), |_| Known::Pending).is_empty());
--- a/tests/meetings/mod.rs
+++ b/tests/meetings/mod.rs
@@ -6,8 +6,10 @@
 mod gap;
 mod late;
 mod leaders;
+mod outage;
 mod room;
 mod troubles;
+mod withdrawals;
 
 use super::known::fleet;
 use super::world::{Job, LEASE_S, World, s};
