What fell silent is its owner's business, and is no room that comes

Change: the leader remembers when each recorded machine was last known to be up. For two leases from then on it neither returns it, while the cloud lists it as well, nor counts on its room; its owner decides by the account of silence.

--- a/src/controller/fleet.rs
+++ b/src/controller/fleet.rs
@@ -82,6 +82,7 @@
             return;
         }
         self.refused.retain(|_, until| *until > now);
+        self.note_up();
         // A machine is a stray only once every worker had the time to come.
         if self.start.all_came() {
             self.return_strays();
@@ -213,6 +214,28 @@
         self.machine_type(build).map_or(f64::MAX, |t| t.startup_s * self.set.operator.late_boots)
     }
 
+    /// Which machines are up, or were before they fell silent.
+    fn note_up(&mut self) {
+        let now = self.now;
+        let mut up_at = std::mem::take(&mut self.up_at);
+        up_at.retain(|name, _| self.view.hosts.contains_key(name));
+        for name in self.view.hosts.keys().filter(|name| self.is_up(name)) {
+            match up_at.get_mut(name) {
+                Some(at) => *at = now,
+                None => _ = up_at.insert(name.clone(), now),
+            }
+        }
+        self.up_at = up_at;
+    }
+
+    /// Whether the machine was up before it fell silent, not long ago: it is not coming,
+    /// and its owner, which knows what fell silent with it, decides what becomes of it.
+    fn fell_silent(&self, name: &str) -> bool {
+        let long = self.secs(self.set.settings.workers.lease_s * perches::CUT_LEASES);
+        let listed = !self.unlisted.contains(name);
+        listed && self.up_at.get(name).is_some_and(|t| self.now.saturating_sub(*t) < long)
+    }
+
     /// Machines that failed, or were rented and never came up, are returned.
     fn return_strays(&mut self) {
         let mut names = Vec::new();
@@ -228,6 +251,7 @@
                 left.push(name.clone());
             } else if now.saturating_sub(since).as_secs_f64() > self.late_s(&h.rec.build)
                 && !self.releasing.contains(name)
+                && !self.fell_silent(name)
             {
                 names.push(name.clone());
             }
@@ -235,7 +259,7 @@
         self.unseen_since = unseen;
         self.forget_machines(left);
         for (name, l) in &self.list {
-            let known = self.is_up(name) || names.contains(name);
+            let known = self.is_up(name) || names.contains(name) || self.fell_silent(name);
             let late = l.phase != Phase::Failed && l.held_s > self.late_s(&l.build);
             if !known
                 && (late || l.phase == Phase::Failed)
@@ -255,7 +279,7 @@
     /// Free room that is there or on its way.
     pub(super) fn expected_rooms(&self, counted: Counted) -> Vec<Room> {
         let mut rooms: Vec<Room> = self.rooms_beside(true, counted).into_iter().map(|(_, r)| r).collect();
-        let coming = |name: &str| !self.is_up(name) && !self.gone.contains(name);
+        let coming = |name: &str| !self.is_up(name) && !self.gone.contains(name) && !self.fell_silent(name);
         for (name, l) in &self.list {
             if matches!(l.phase, Phase::Booting | Phase::Running)
                 && coming(name)
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -323,6 +323,8 @@
     rented: BTreeMap<String, Rented>,
     /// Machines that were rented while the cluster began, by us or by the leader's word.
     young: BTreeSet<String>,
+    /// When each recorded machine was last known to be up, by the leader.
+    up_at: HashMap<String, Instant>,
     /// Rentals whose machines shall be recorded together.
     unrecorded: VecDeque<(crate::fleet::Offer, Vec<String>)>,
     /// Recorded machines that nobody hears, and since when.
@@ -453,6 +455,7 @@
             list_busy: false,
             rented: BTreeMap::new(),
             young: BTreeSet::new(),
+            up_at: HashMap::new(),
             unrecorded: VecDeque::new(),
             unseen_since: HashMap::new(),
             unreached_since: HashMap::new(),
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -23,7 +23,7 @@
 /// reported after the list was made.
 const UNLISTED_REPORTS: f64 = 1.25;
 /// Machines that are cut off with others are waited for this many leases.
-const CUT_LEASES: f64 = 2.0;
+pub(super) const CUT_LEASES: f64 = 2.0;
 
 impl Controller {
     /// A worker's call.
--- a/tests/meetings/machines.rs
+++ b/tests/meetings/machines.rs
@@ -363,3 +363,45 @@
         all_are_known(&mut w);
     }
 }
+
+/// A zone whose machines open no connection is not returned for it before two leases, but
+/// for single ones of which nobody knows that others fell silent with them. What ran there,
+/// and what comes, runs on other machines. It serves again as soon as it is heard.
+///
+/// All that had been silent for a lease, and held no places any more, was returned at once
+/// as if it had never come up.
+#[test]
+fn a_zone_that_opens_no_connection() {
+    for seed in 0..seeds(4) {
+        let mut w = fleet(10_500 + seed, [3, 7][seed as usize % 2], 30);
+        w.cloud.most = 60;
+        w.submit("run-999", service(60));
+        w.run_until(20.0);
+        let zone: Vec<String> = w.workers.values().filter(|x| x.site == "b").map(|x| x.name.clone()).collect();
+        zone.iter().for_each(|n| w.workers.get_mut(n).unwrap().mute = true);
+        w.later(24.0, |w| w.submit("run-989", service(60)));
+        if seed % 4 >= 2 {
+            w.later(22.0, |w| {
+                let leader = w.store.leader().unwrap_or(0);
+                w.crash(leader);
+            });
+        }
+        let end = 20.0 + LEASE_S * [1.5, 4.0][seed as usize / 2 % 2];
+        w.run_until(end.min(20.0 + LEASE_S * 2.0));
+        let (left, of) = (there(&w, &zone).count(), zone.len());
+        assert!(left * 2 > of, "seed {seed}: {left} of {of} are left: {:?}", w.cloud.returned);
+        w.run_until(end);
+        // After two leases they are given up, and what they had runs elsewhere.
+        let run = (running(&w, "run-999"), running(&w, "run-989"));
+        assert!(end < 20.0 + LEASE_S * 2.0 || run == (60, 60), "seed {seed}: {run:?}");
+        w.workers.values_mut().for_each(|x| x.mute = false);
+        w.run_until(end + CALLS_AGAIN_S + REPORT_S * 2.0);
+        let out: Vec<&str> = there(&w, &zone).filter(|x| x.lease_from < s(end)).map(|x| x.name.as_str()).collect();
+        assert!(out.is_empty(), "seed {seed}: {out:?} are well and nobody answers them");
+        w.calm_from(end + 20.0);
+        w.run_until(end + 130.0);
+        assert_eq!((running(&w, "run-999"), running(&w, "run-989")), (60, 60), "seed {seed}");
+        all_over(&w);
+        all_are_known(&mut w);
+    }
+}
