--- a/tests/meetings/machines.rs
+++ b/tests/meetings/machines.rs
@@ -66,6 +66,8 @@
         }
         w.later(23.0, |w| withdraw(w, "run-989", None));
         w.later(26.0, |w| w.submit("run-001", array(30, 4.0)));
+        // More waits than there is room for.
+        w.later(24.0, |w| w.submit("run-888", Job { idle: true, ..array(900, 18.0) }));
         let long = LEASE_S * [1.6, 0.7, 6.0][seed as usize % 3];
         let (gone, end) = (20.0 + LEASE_S + 1.0, 20.0 + long);
         // An order may go out for as long as the machine counts as heard.
@@ -102,7 +104,10 @@
         w.run_until(end + CALLS_AGAIN_S + REPORT_S * 3.0);
         let idle: Vec<&str> = there(&w, &names).filter(|x| x.tasks.is_empty()).map(|x| x.name.as_str()).collect();
         assert!(idle.is_empty(), "seed {seed}: {idle:?} are well and take nothing");
-        w.later(w.now.as_secs_f64() + 1.0, |w| withdraw(w, "run-002", None));
+        w.later(w.now.as_secs_f64() + 1.0, |w| {
+            withdraw(w, "run-002", None);
+            withdraw(w, "run-888", None);
+        });
         w.cloud.most = 26;
         w.calm_from(end + 30.0);
         w.run_until(end + 130.0);
