--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -309,6 +309,10 @@
     list_next: Instant,
     list_busy: bool,
     rented: BTreeMap<String, Rented>,
+    /// Machines that were rented while the cluster began, by us or by the leader's word.
+    young: BTreeSet<String>,
+    /// When each recorded machine was last known to be up, by the leader.
+    up_at: HashMap<String, Instant>,
     /// Rentals whose machines shall be recorded together.
     unrecorded: VecDeque<(crate::fleet::Offer, Vec<String>)>,
     /// Recorded machines that nobody hears, and since when.
@@ -438,6 +442,8 @@
             list_next: Duration::ZERO,
             list_busy: false,
             rented: BTreeMap::new(),
+            young: BTreeSet::new(),
+            up_at: HashMap::new(),
             unrecorded: VecDeque::new(),
             unseen_since: HashMap::new(),
             unreached_since: HashMap::new(),
@@ -467,6 +473,7 @@
             }
             Event::Peer { member, frame: Frame::Beat(beat) } => {
                 self.note_images(&beat);
+                self.note_young(&beat.rented);
                 for name in &beat.unlisted {
                     if let Some(m) = self.machines.get_mut(name) {
                         m.unlisted = true;
--- a/tests/meetings/mod.rs
+++ b/tests/meetings/mod.rs
@@ -8,6 +8,7 @@
 mod leaders;
 mod outage;
 mod room;
+mod machines;
 mod troubles;
 mod withdrawals;
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -69,6 +69,8 @@
     pub cores: f64,
     pub run_s: f64,
     pub team: String,
+    /// The only zone in which its tasks may start.
+    pub site: Option<&'static str>,
     pub submitted: bool,
     pub accepted: bool,
     pub withdraw_asked: bool,
@@ -198,6 +200,9 @@
     pub odd_refused: u32,
     /// Starts of tasks whose job had been confirmed as withdrawn.
     pub started_withdrawn: u32,
+    /// The longest time from a confirmation to an order to start one, as it was sent: a
+    /// command may be held up, but nobody may order more once the watch has told it.
+    pub ordered_late: Duration,
     /// Since when no trouble is left: then no job waits beside room.
     pub calm_since: Option<Duration>,
     /// Late transactions that were carried out and that were refused, by the kind of
@@ -308,6 +313,7 @@
             odd_requests: 0.0,
             odd_refused: 0,
             started_withdrawn: 0,
+            ordered_late: Duration::ZERO,
             calm_since: None,
             came_late: BTreeMap::new(),
             run_again: 0,
@@ -494,6 +500,17 @@
         }
     }
 
+    /// Orders go to a worker.
+    fn ordering(&mut self, body: &[u8]) {
+        for order in get(&value(body), "orders").and_then(Value::as_array).into_iter().flatten() {
+            let parcel = text(order, "parcel");
+            let job = parcel.split('/').next().and_then(|uid| self.jobs.get(uid));
+            if let Some(told) = job.and_then(|j| j.withdrawn_at).filter(|_| text(order, "verb") == "run") {
+                self.ordered_late = self.ordered_late.max(self.now.saturating_sub(told));
+            }
+        }
+    }
+
     fn give(&mut self, i: usize, event: Event) {
         let start = self.starts.get(&i).copied().unwrap_or_default();
         let now = self.now - start;
@@ -507,6 +524,10 @@
                     let lag = self.lag();
                     let lost = |p: &Pending| matches!(&p.source, Source::Worker(name, _) if !self.tells(name, p.node));
                     let cut = self.pending.get(&conn).is_some_and(lost);
+                    let worker = |p: &Pending| matches!(p.source, Source::Worker(..));
+                    if self.pending.get(&conn).is_some_and(worker) {
+                        self.ordering(&body);
+                    }
                     if !cut {
                         self.at(lag, Ev::Reply(conn, status, body));
                     }
@@ -522,6 +543,10 @@
                     self.breaks(i, &call);
                     let writes = matches!(&call, Action::Call { path, .. } if path == "/multi");
                     let lag = self.lag() + if writes { self.slow_writes } else { 0.0 };
+                    if let Action::Call { target: Target::Worker(_), body: Some(body), .. } = &call {
+                        self.ordering(body);
+                    }
+                    let lag = self.lag();
                     let life = self.nodes[i].life;
                     self.at(lag, Ev::Call(i, life, Box::new(call)));
                 }
@@ -671,6 +696,8 @@
                 panic!("seed {}: {job} starts and was never submitted", self.seed);
             };
             let site = &self.workers[name].site;
+            let wrong = j.site.is_some_and(|only| only != site);
+            assert!(!wrong, "seed {}, {:?}: {job}/{index} starts in zone {site}", self.seed, self.now);
             let mut here = 0;
             for w in self.workers.values() {
                 let n = w.tasks.values().filter(|t| t.job == job && t.state != TaskState::Exited).count() as u32;
