Only a report surely of the present life voids an answer

Cause: a machine that had never shown our token voided our answer by any report above the newest known that showed the token it had come with. A copy of the first words of a life before shows the same (none). Where the grant was about as old as cancel_s, the lease counted as over at once, and what the present life had just been given started elsewhere too. A second hole, found while the first was mended: where nobody noticed the end of a life, a late report of it that shows our token passed for the newest of the present one, and its tasks were called absent.

Change: a report voids an answer only if it is sure (our token, or after it was shown). One that does not show what was answered raises the token, so what the present life is given was never given to another. A machine that never heard us and holds places is left without an answer from cancel_s - lease_s after the grant on until its lease must be over, as answering on would put that off for ever.

The last part of a_copy_from_an_earlier_life_proves_nothing asserted the fault itself, that a machine which never heard us voids; one_that_never_heard_us_is_waited_out, which holds what takes its place, stands for it.

--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -101,6 +101,9 @@
             self.give_places_up(&name);
         }
         self.look(&name);
+        if self.machines.get(&name).is_some_and(|m| m.waits_out(now, lease, cancel)) && self.holds_places(&name) {
+            return self.refuse(conn, 503, "hears nothing");
+        }
         let (wanted, kept) = self.wanted(&name);
         self.note_squared(&name, &wanted, &kept);
         let Some(m) = self.machines.get(&name) else { return };
@@ -600,6 +603,12 @@
         [w.lease_s, w.cancel_s].map(|s| self.secs(s * DRIFT + w.report_s / 2.0))
     }
 
+    /// Whether anything is placed there that is not proved gone.
+    fn holds_places(&self, name: &str) -> bool {
+        let (Some(placed), Some(m)) = (self.view.placed.get(name), self.machines.get(name)) else { return false };
+        placed.iter().any(|((job, index), attempt)| !m.gone.contains(&(job.clone(), *index, *attempt)))
+    }
+
     /// All that is placed on a machine that is proved empty is given up; whether
     /// there was any.
     fn give_places_up(&mut self, name: &str) -> bool {
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -65,8 +65,6 @@
     /// The token that the worker had by the newest such report. In one life it never has
     /// a lower one.
     floor: u64,
-    /// The token that it had when it came under this grant, or began anew.
-    base: Option<u64>,
     /// A pushed message that is not answered yet.
     pub push: Option<CallId>,
     /// Starts and kills pushed in this session, not to be pushed again.
@@ -115,7 +113,6 @@
             reached_at: None,
             sure: false,
             floor: 0,
-            base: None,
             push: None,
             pushed: BTreeSet::new(),
             failures: Failures::default(),
@@ -175,17 +172,22 @@
     /// what it does not show by now it never had, and its lease was not renewed by it.
     ///
     /// A copy from before its end may be above all that is known of a machine that is
-    /// back. It shows another token than the one that the worker had when it came, and
-    /// never ours; so until the worker has shown ours, nothing else is sure.
+    /// back, and show all that this one came with. It never shows our token; so until the
+    /// worker has, what it does not show voids nothing, and is a reason to wait
+    /// (`waits_out`).
     pub fn note_reply(&mut self, news: bool, now: Instant) {
-        let base = *self.base.get_or_insert(self.warrant);
         self.note_sure(self.confirmed() || news && self.ready);
         if self.told <= self.warrant {
             self.missed = 0;
             self.reached_at = Some(now);
-        } else if self.sure || news && self.warrant == base {
+        } else if self.sure || news {
             self.missed += 1;
-            self.answered_at = self.answered_before;
+            if self.sure {
+                self.answered_at = self.answered_before;
+            } else if self.told == self.token() {
+                // Or it ended since, unnoticed: it shall get none that its earlier life may show.
+                self.counter += 1;
+            }
         }
     }
 
@@ -236,7 +238,6 @@
         self.at = (0, 0);
         self.take(report);
         self.note_sure(true);
-        self.base = Some(self.warrant);
         self.ready = false;
         self.since.clear();
         self.fetches.clear();
@@ -353,6 +354,14 @@
         let ours = self.answered_at.map_or(Duration::ZERO, |t| t + lease);
         now > ours.max(self.owned_since + cancel)
     }
+
+    /// It hears nothing, and never did under this grant or since it began anew: then its
+    /// lease may be over, and nothing but the clock proves it. Once no earlier owner
+    /// answers it any more we do not either, until what we said can't have kept it.
+    pub fn waits_out(&self, now: Instant, lease: Duration, cancel: Duration) -> bool {
+        let earlier = self.owned_since + cancel.saturating_sub(lease);
+        self.hears_nothing() && !self.ready && now > earlier && !self.lapsed(now, lease, cancel)
+    }
 }
 
 #[cfg(test)]
--- a/src/coordination/machine/tests.rs
+++ b/src/coordination/machine/tests.rs
@@ -151,10 +151,84 @@
     says(&mut m, (1, 10), token, s(23));
     m.ready = true;
     assert!(m.sure && m.belies(old) && !m.belies(token));
-    // One that hears nothing since it came shows what it came with, and voids.
+}
+
+/// One that hears nothing since it came, and a copy of what it said first in an earlier
+/// life, look alike: neither voids an answer. So that its places come free all the same
+/// it is not answered until its lease must be over, and as soon as it shows our token.
+#[test]
+fn one_that_never_heard_us_is_waited_out() {
+    let s = Duration::from_secs;
+    let (lease, cancel) = (s(18), s(48));
+    let says = |m: &mut Machine, tally, warrant, now| {
+        assert!(m.take(&report((1, tally), warrant, &[])));
+        m.note_reply(true, now);
+    };
     let mut deaf = Machine::new(1, 1, 1, s(0));
-    says(&mut deaf, (1, 1), 3, s(1));
-    deaf.answer(s(1));
-    says(&mut deaf, (1, 2), 3, s(2));
-    assert!(deaf.answered_at.is_none() && !deaf.sure);
+    for n in 0..15 {
+        says(&mut deaf, 1 + n, 3, s(2 * n));
+        assert!(!deaf.waits_out(s(2 * n), lease, cancel), "an earlier owner may answer it");
+        deaf.answer(s(2 * n));
+    }
+    says(&mut deaf, 30, 3, s(31));
+    assert!(deaf.hears_nothing() && !deaf.sure && deaf.answered_at == Some(s(28)));
+    assert!(deaf.waits_out(s(31), lease, cancel) && deaf.waits_out(s(48), lease, cancel));
+    assert!(deaf.lapsed(s(49), lease, cancel) && !deaf.waits_out(s(49), lease, cancel));
+    // It hears again: it is answered at once, and what ran there goes on.
+    let token = deaf.token();
+    says(&mut deaf, 31, token, s(33));
+    deaf.ready = true;
+    assert!(deaf.sure && !deaf.waits_out(s(33), lease, cancel));
+    // From then on a report without our newest token is its own, and voids.
+    deaf.answer(s(33));
+    deaf.push_lost();
+    says(&mut deaf, 32, token, s(35));
+    deaf.answer(s(35));
+    says(&mut deaf, 33, token, s(37));
+    assert!(deaf.sure && deaf.answered_at == Some(s(33)));
+}
+
+/// A machine ended and was back, and its owner had heard nothing of it in either life. Its
+/// first words were answered with its tasks; then came a copy of what it had said first in
+/// the life before, with the token (none) that the present one came with. That voided the
+/// answer, the lease counted as over, and what had just started was started elsewhere too.
+#[test]
+fn a_copy_of_the_first_words_of_an_earlier_life_voids_no_answer() {
+    let s = Duration::from_secs;
+    let mut m = Machine::new(1, 1, 1, s(0));
+    for (tally, at) in [(1, 47), (4, 49), (5, 50)] {
+        assert!(m.take(&report((1, tally), 0, &[])));
+        m.note_reply(tally > 1, s(at));
+        if tally == 1 {
+            m.answer(s(at));
+        }
+    }
+    assert_eq!(m.answered_at, Some(s(47)), "our answer may have come");
+    assert!(!m.lapsed(s(50), s(18), s(48)) && m.lapsed(s(66), s(18), s(48)));
+    assert!(m.waits_out(s(50), s(18), s(48)));
+}
+
+/// A machine ended while what it had reported last was held back, and was back; its owner
+/// had heard too little of the earlier life to tell. A report of that life that showed our
+/// token came after the present one had been answered with its tasks: it passed for the
+/// newest, listed none of them, and so they were called absent and started elsewhere.
+#[test]
+fn a_report_of_a_life_whose_end_nobody_noticed_proves_nothing() {
+    let s = Duration::from_secs;
+    let mut m = Machine::new(1, 1, 1, s(0));
+    m.take(&report((1, 3), 0, &[]));
+    m.note_reply(false, s(1));
+    let old = m.answer(s(1));
+    // The present life: above all that is known.
+    m.take(&report((1, 5), 0, &[]));
+    m.note_reply(true, s(3));
+    m.answer(s(3));
+    m.take(&report((1, 6), old, &[("run-1/0", 1, TaskState::Exited)]));
+    m.note_reply(true, s(4));
+    assert!(!m.confirmed() && !m.sure && m.answered_at == Some(s(3)));
+    // The present life's own shows what only it was given.
+    let token = m.answer(s(5));
+    m.take(&report((1, 7), token, &[("run-1/0", 1, TaskState::Running)]));
+    m.note_reply(true, s(6));
+    assert!(m.confirmed() && m.sure);
 }
