Old and held reports meet a new leader; ten leaders in two minutes; hand-overs

The world can hold back the next report of a machine, its own call and no copy, until another leader has begun and for up to seconds more.

--- /dev/null
+++ b/tests/meetings/copies.rs
@@ -0,0 +1,177 @@
+//! Reports that meet a new leader: copies kept for it, from earlier sessions, attempts and
+//! lives of a machine, and the worker's own calls that were held back until it had acted.
+
+use super::{all_over, fleet, withdraw};
+use crate::known::all_are_known;
+use crate::recovery::seeds;
+use crate::running;
+use crate::world::{CANCEL_S, Job, LEASE_S, REPORT_S, World, array, gang, service};
+use rand::RngExt;
+
+/// A machine ended, unheard, and was back; its first words reached a controller that knew
+/// of neither life, just before that could call its lease over. A copy of the first words
+/// of the life before shows the token (none) that the present life came with: it voided the
+/// answer by which the present life had started its tasks, and they started elsewhere too.
+#[test]
+fn first_words_of_an_earlier_life_void_no_answer() {
+    let mut met = 0;
+    for step in 0..16 {
+        let mut w = fleet(9800, 1, 6);
+        w.cloud.most = 6;
+        let name = w.workers.keys().next().unwrap().clone();
+        // Said before anybody had answered.
+        let first: Vec<Vec<u8>> = (0..8).map(|_| w.workers.get_mut(&name).unwrap().report(w.now)).collect();
+        w.submit("run-009", service(24));
+        w.run_until(20.0);
+        assert!(!w.workers[&name].tasks.is_empty());
+        w.cut_worker(&name, true);
+        // It can't be returned meanwhile.
+        w.cloud.down = true;
+        w.restart_s = 0.05;
+        w.crash(0);
+        let back = 20.0 + CANCEL_S + 0.5 + 0.1 * f64::from(step);
+        w.later(back, {
+            let name = name.clone();
+            move |w| {
+                w.cut_worker(&name, false);
+                let now = w.now;
+                w.workers.get_mut(&name).unwrap().begin_anew(now);
+            }
+        });
+        for (n, copy) in first.into_iter().enumerate() {
+            w.later(back + 0.05 * (n + 1) as f64, move |w| w.copy_to(0, copy));
+        }
+        w.run_until(back + 0.6);
+        met += usize::from(!w.workers[&name].tasks.is_empty());
+        w.run_until(back + 60.0);
+        assert_eq!(running(&w, "run-009"), 24, "step {step}");
+    }
+    assert!(met > 3, "the present life had started its tasks in {met} of 16");
+}
+
+/// Work of all kinds over a minute and a half, whose attempts are ordered again: machines
+/// on which all fails for a while, gangs that give up waiting; some of it is withdrawn.
+fn work(w: &mut World, jobs: usize) {
+    w.submit("run-999", service(16));
+    for n in 0..jobs {
+        let at = w.rng.random_range(0.0..80.0);
+        let tasks = w.rng.random_range(1..9);
+        let (uid, job) = match n % 4 {
+            0 => (format!("run-{n:02}9"), service(2)),
+            1 => (format!("run-{n:02}{}", n % 5), gang(2)),
+            2 => (format!("run-{n:02}{}", n % 5), Job { cores: 1.0, team: "capped".into(), ..array(tasks, 4.0) }),
+            _ => (format!("run-{n:02}{}", n % 5), array(tasks, 4.0)),
+        };
+        let (a, b) = (uid.clone(), uid);
+        w.later(at, move |w| w.submit(&a, job));
+        if n % 4 == 0 || n % 5 == 0 {
+            let leave = w.rng.random_range(at..95.0);
+            w.later(leave, move |w| withdraw(w, &b, None));
+        }
+    }
+}
+
+/// What happens to some machine a few seconds before a leader ends, so that what it said
+/// before comes to the next one.
+fn trouble(w: &mut World, kind: u32, at: f64) {
+    let which = w.rng.random_range(0..14);
+    let name = move |w: &World| w.workers.keys().nth(which).cloned();
+    w.later(at, move |w| {
+        let (now, Some(name)) = (w.now, name(w)) else { return };
+        let x = w.workers.get_mut(&name).unwrap();
+        match kind % 4 {
+            // It ends and is back: another life.
+            0 => x.begin_anew(now),
+            // Its lease lapses: another session.
+            1 => {
+                w.cut_worker(&name, true);
+                w.later(at + LEASE_S + 4.0, move |w| w.cut_worker(&name, false));
+            }
+            // Its tasks fail, and are tried again: other attempts.
+            2 => {
+                x.sick = true;
+                w.later(at + 6.0, move |w| w.workers.get_mut(&name).into_iter().for_each(|x| x.sick = false));
+            }
+            // It hears nothing for a while; then it ends.
+            _ => {
+                x.deaf = true;
+                w.later(at + 7.0, move |w| {
+                    let now = w.now;
+                    let Some(x) = w.workers.get_mut(&name) else { return };
+                    x.deaf = false;
+                    x.begin_anew(now);
+                });
+            }
+        }
+    });
+}
+
+/// A part of all reports comes to every controller once more as another leader begins, and
+/// some of them again to those after it, while machines end and are back, lose their
+/// leases, fail and hear nothing, so that they are of other lives, sessions and attempts.
+#[test]
+fn old_reports_reach_every_controller_as_a_leader_begins() {
+    for seed in 0..seeds(2) {
+        let mut w = fleet(9810 + seed, [3, 7][seed as usize % 2], 16);
+        w.copies_for_next = Some(0.3);
+        w.restart_between = Some(if seed % 4 < 2 { (0.01, 0.9) } else { (2.0, 9.0) });
+        work(&mut w, 20);
+        for n in 0..9u32 {
+            let at = 12.0 + 9.0 * f64::from(n) + w.rng.random_range(0.0..2.0);
+            for i in 0..3 {
+                let before = w.rng.random_range(0.0..5.0);
+                trouble(&mut w, n + i, at - before);
+            }
+            w.later(at, move |w| {
+                let leader = w.store.leader().unwrap_or(0);
+                w.crash(leader);
+                if n % 3 == 2 {
+                    (0..w.nodes.len()).for_each(|i| w.crash(i));
+                }
+            });
+        }
+        w.later(100.0, |w| w.copies_for_next = None);
+        w.calm_from(125.0);
+        w.run_until(220.0);
+        all_over(&w);
+        assert_eq!(running(&w, "run-999"), 16, "seed {seed}");
+        all_are_known(&mut w);
+        assert!(w.came_for_next > 100, "seed {seed}: {} came", w.came_for_next);
+    }
+}
+
+/// One report of each machine, its own call, is held back until another leader has begun
+/// and has acted for up to seconds; then it comes, to a machine that still waits for its
+/// answer or has gone on to the next controller long ago.
+#[test]
+fn reports_held_back_until_a_new_leader_has_acted_are_as_old_as_they_are() {
+    let mut came = (0, 0);
+    for seed in 0..seeds(2) {
+        let mut w = fleet(9820 + seed, [3, 7][seed as usize % 2], 16);
+        w.restart_between = Some(if seed % 4 < 2 { (0.01, 0.9) } else { (2.0, 9.0) });
+        work(&mut w, 20);
+        let within = [3.0, 0.5, 12.0][seed as usize % 3];
+        for n in 0..9u32 {
+            let at = 12.0 + 9.0 * f64::from(n) + w.rng.random_range(0.0..2.0);
+            // The last before the end of the leader, so that some are still waited for.
+            w.later(at - REPORT_S * 1.3, move |w| {
+                let all = w.workers.keys().map(|name| (name.clone(), within));
+                w.hold_for_next = all.collect();
+            });
+            let before = w.rng.random_range(0.0..5.0);
+            trouble(&mut w, n, at - before);
+            w.later(at, move |w| {
+                w.hold_for_next.clear();
+                let leader = w.store.leader().unwrap_or(0);
+                w.crash(leader);
+            });
+        }
+        w.calm_from(125.0);
+        w.run_until(220.0);
+        all_over(&w);
+        assert_eq!(running(&w, "run-999"), 16, "seed {seed}");
+        all_are_known(&mut w);
+        came = (came.0 + w.came_held.0, came.1 + w.came_held.1);
+    }
+    assert!(came.0 > 5 && came.1 > 50, "{came:?} came");
+}
--- a/tests/meetings/leaders.rs
+++ b/tests/meetings/leaders.rs
@@ -4,7 +4,7 @@
 use super::{all_over, fleet, withdraw};
 use crate::known::all_are_known;
 use crate::recovery::seeds;
-use crate::world::{CANCEL_S, LEASE_S, World, array, service};
+use crate::world::{CANCEL_S, CloseLooks, LEASE_S, World, array, service};
 use crate::{done, running};
 use rand::RngExt;
 
@@ -161,3 +161,119 @@
         all_are_known(&mut w);
     }
 }
+
+/// Ten leaders in two minutes: each ends, or is refused by the store, soon after it began;
+/// some of that inside an outage of the store, after which another leads. What was said to
+/// one comes to the next, jobs are withdrawn throughout.
+#[test]
+fn leaders_change_ten_times_in_two_minutes() {
+    for seed in 0..seeds(2) {
+        let mut w = fleet(9830 + seed, [3, 7][seed as usize % 2], 20);
+        w.restart_between = Some(if seed % 4 < 2 { (0.01, 0.9) } else { (2.0, 9.0) });
+        w.copies_for_next = Some(0.1);
+        w.submit("run-999", service(20));
+        for n in 0..8 {
+            w.submit(&format!("run-7{n}9"), array(4, 1e6));
+            let leave = 16.0 + 14.0 * f64::from(n) + w.rng.random_range(0.0..8.0);
+            w.later(leave, move |w| withdraw(w, &format!("run-7{n}9"), None));
+        }
+        for n in 0..20 {
+            let at = w.rng.random_range(5.0..120.0);
+            w.later(at, move |w| w.submit(&format!("run-8{n:02}1"), array(3, 4.0)));
+        }
+        w.run_until(14.0);
+        let first = w.store.term();
+        // Some of the ends fall into the outage.
+        let (down, up) = (50.0, 50.0 + [22.0, CANCEL_S + 6.0][seed as usize % 2]);
+        w.later(down, |w| w.store.set_down(w.now, true));
+        w.later(up, |w| w.store.set_down(w.now, false));
+        for n in 0..20u32 {
+            let at = 14.0 + 6.0 * f64::from(n) + w.rng.random_range(0.0..2.0);
+            w.later(at, move |w| {
+                let Some(leader) = w.store.leader() else { return };
+                w.hold_for_next = w.workers.keys().skip(n as usize % 3).step_by(3).map(|x| (x.clone(), 4.0)).collect();
+                if n % 3 < 2 {
+                    return w.crash(leader);
+                }
+                w.nodes[leader].refused = true;
+                w.later(at + LEASE_S, move |w| w.nodes[leader].refused = false);
+            });
+        }
+        w.later(135.0, |w| w.copies_for_next = None);
+        w.calm_from(155.0);
+        w.run_until(260.0);
+        let changes = w.store.term() - first;
+        assert!(changes >= 10, "seed {seed}: {changes} leaders");
+        all_over(&w);
+        assert_eq!(running(&w, "run-999"), 20, "seed {seed}");
+        assert_eq!(w.started_withdrawn, 0, "seed {seed}");
+        all_are_known(&mut w);
+    }
+}
+
+/// The lead goes to another and back to the first, by an end or by a refusal of the store,
+/// all end, one returns within a second, and the others with it or seconds later; each with
+/// transactions that come late, or whose answers do, with withdrawals, also at the moment
+/// of a job's end, and with users who ask all nodes at once.
+#[test]
+fn hand_over_and_back_beside_late_transactions() {
+    for seed in 0..seeds(2) {
+        let mut w = fleet(9850 + seed, [3, 7][seed as usize % 2], 20);
+        let nodes = w.nodes.len();
+        w.submit("run-999", service(20));
+        w.run_until(12.0);
+        if seed % 3 < 2 {
+            w.late_writes = Some((0.1, (0.2, 9.0)));
+        }
+        if seed % 3 > 0 {
+            w.late_answers = Some((0.25, (0.2, 6.0)));
+        }
+        w.close_looks = Some(CloseLooks { withdraw: 0.15 });
+        w.cancel_at_end = Some(0.3);
+        far_apart(&mut w, 10);
+        for n in 0..16 {
+            let at = w.rng.random_range(12.0..70.0);
+            w.later(at, move |w| w.submit(&format!("run-8{n:02}1"), array(2, 4.0)));
+            w.later(at, move |w| w.submit(&format!("run-9{n:02}9"), array(2, 1e6)));
+            let leave = at + w.rng.random_range(0.1..12.0);
+            w.later(leave, move |w| withdraw(w, &format!("run-9{n:02}9"), None));
+        }
+        for n in 0..5u32 {
+            let at = 14.0 + 12.0 * f64::from(n);
+            let gap = w.rng.random_range(0.01..0.9);
+            let first = w.rng.random_range(0..nodes);
+            w.later(at, move |w| {
+                let Some(leader) = w.store.leader() else { return };
+                w.restart_s = gap;
+                if n % 2 == 0 {
+                    return w.crash(leader);
+                }
+                // It lives, and writes what comes late, while another leads.
+                w.nodes[leader].refused = true;
+                w.later(at + 5.5, move |w| w.nodes[leader].refused = false);
+            });
+            // And from that one on, mostly back.
+            w.later(at + 6.0, |w| {
+                let leader = w.store.leader().unwrap_or(0);
+                w.crash(leader);
+            });
+            if n % 2 == 1 {
+                w.later(at + 8.0, move |w| {
+                    for i in 0..nodes {
+                        w.restart_s = if i == first { gap } else { gap + [0.05, 2.5][n as usize / 2 % 2] };
+                        w.crash(i);
+                    }
+                });
+            }
+        }
+        w.later(80.0, |w| {
+            (w.late_writes, w.late_answers, w.close_looks, w.cancel_at_end) = (None, None, None, None);
+        });
+        w.calm_from(100.0);
+        w.run_until(200.0);
+        all_over(&w);
+        assert!(w.looked > 100, "seed {seed}: {} looks", w.looked);
+        assert_eq!((running(&w, "run-999"), w.started_withdrawn), (20, 0), "seed {seed}");
+        all_are_known(&mut w);
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -176,6 +176,12 @@
     /// another leader begins.
     pub copies_for_next: Option<f64>,
     kept: Vec<Vec<u8>>,
+    /// The next report of each of these machines is held back, its own call and no copy,
+    /// until another leader has begun and up to so many seconds more.
+    pub hold_for_next: BTreeMap<String, f64>,
+    held_calls: Vec<(u64, usize, Vec<u8>, f64)>,
+    /// Of those that came, the ones that their machine still waited for, and the rest.
+    pub came_held: (u32, u32),
     /// The term that the last kept reports were handed over in.
     kept_until: u64,
     /// Reports that came once more to a leader's beginning.
@@ -291,6 +297,9 @@
             late_answers: None,
             copies_for_next: None,
             kept: Vec::new(),
+            hold_for_next: BTreeMap::new(),
+            held_calls: Vec::new(),
+            came_held: (0, 0),
             kept_until: 0,
             came_for_next: 0,
             close_looks: None,
@@ -556,6 +565,10 @@
             return;
         }
         self.kept_until = term;
+        for (conn, node, body, within) in std::mem::take(&mut self.held_calls) {
+            let after = self.rng.random_range(0.0..within);
+            self.at(after, Ev::Do(Box::new(move |w| w.come_held(conn, node, body))));
+        }
         for body in std::mem::take(&mut self.kept) {
             self.came_for_next += 1;
             for node in 0..self.nodes.len() {
@@ -568,6 +581,18 @@
         }
     }
 
+    /// A call that was held back comes, to a machine that still waits for its answer or
+    /// gave it up.
+    fn come_held(&mut self, conn: u64, node: usize, body: Vec<u8>) {
+        if self.pending.contains_key(&conn) {
+            self.came_held.0 += 1;
+            self.at(0.0, Ev::Request(node, conn));
+        } else {
+            self.came_held.1 += 1;
+            self.copy_to(node, body);
+        }
+    }
+
     /// Gangs start once complete, and notice when they are not any more.
     fn gangs(&mut self) {
         let now = self.now;
@@ -619,7 +644,12 @@
             self.kept.push(body.clone());
         }
         self.workers.get_mut(name).unwrap().next_report = now + s(REPORT_S * jitter);
-        let conn = self.request(node, Source::Worker(name.to_string(), tally), "POST", "/checkin", body, cut);
+        let held = self.hold_for_next.remove(name).map(|after| (after, body.clone()));
+        let lost = cut || held.is_some();
+        let conn = self.request(node, Source::Worker(name.to_string(), tally), "POST", "/checkin", body, lost);
+        if let Some((after, body)) = held {
+            self.held_calls.push((conn, node, body, after));
+        }
         self.at(4.0, Ev::Timeout(conn));
     }
 
