--- a/tests/meetings/mod.rs
+++ b/tests/meetings/mod.rs
@@ -2,6 +2,7 @@
 //! table of meetings, guards and tests). The world checks the rules at every step.
 
 mod answers;
+mod copies;
 mod drawn;
 mod gap;
 mod late;
