--- a/tests/meetings/mod.rs
+++ b/tests/meetings/mod.rs
@@ -7,9 +7,9 @@
 mod gap;
 mod late;
 mod leaders;
+mod machines;
 mod outage;
 mod room;
-mod machines;
 mod troubles;
 mod withdrawals;
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -555,7 +555,6 @@
                     if let Action::Call { target: Target::Worker(_), body: Some(body), .. } = &call {
                         self.ordering(body);
                     }
-                    let lag = self.lag();
                     let life = self.nodes[i].life;
                     self.at(lag, Ev::Call(i, life, Box::new(call)));
                 }
