--- a/tests/meetings/outage.rs
+++ b/tests/meetings/outage.rs
@@ -4,7 +4,7 @@
 
 use super::{fleet, withdraw};
 use crate::running;
-use crate::world::{Job, World, array, service};
+use crate::world::{Job, World, array, s, service};
 use rand::RngExt;
 use std::collections::BTreeSet;
 
@@ -63,7 +63,7 @@
         };
         let first = accepted(&w);
         for node in 0..NODES {
-            let here = first.iter().any(|uid| w.jobs[uid].via == Some(node));
+            let here = w.accepted.iter().any(|(at, by)| *at > s(end) && *by == node);
             assert!(here, "seed {seed}: controller {node} accepts nothing");
         }
         // What begins may give way at once to what is more urgent.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -178,6 +178,8 @@
     pub slow_links: Option<(f64, f64)>,
     /// So many seconds transactions are on their way to the state service.
     pub slow_writes: f64,
+    /// When each node told a user that its submission is accepted.
+    pub accepted: Vec<(Duration, usize)>,
     /// Requests of users that got no answer within their time.
     pub unanswered: u32,
     /// Such a part of reports is kept, and comes to every controller once more as soon as
@@ -308,6 +310,7 @@
             late_answers: None,
             slow_links: None,
             slow_writes: 0.0,
+            accepted: Vec::new(),
             unanswered: 0,
             copies_for_next: None,
             kept: Vec::new(),
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -79,6 +79,9 @@
                 self.odd_refused += u32::from(status == must);
             }
             Source::User(Asked::Submit(uid)) => {
+                if status == 201 {
+                    self.accepted.push((self.now, p.node));
+                }
                 assert!(status != 400 && status != 422, "seed {}: good submission got {status}", self.seed);
                 self.heard(&uid, p.floor, status, &value(body));
                 self.at(1.0, Ev::User(uid));
