The stand-in of workers keeps a gang in step

Cause: after a hang shorter than the time in which a gang misses its task, the one that hung ended later than its peer; the job, rightly told done with the first (PROTOCOL: if one task is done, every task is), was held to be told too early. Change: all tasks of a running gang end when the slowest does. The claim is as strict as it was.

--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -609,6 +609,12 @@
                 }
             }
             for (attempt, (gathering, runs)) in attempts {
+                if runs == j.tasks {
+                    // It is as fast as its slowest, and one that hung for a moment is that.
+                    let ends = self.workers.values_mut().flat_map(|w| w.gang_ends(uid, attempt));
+                    let last = ends.map(|end| *end).max().unwrap_or(now);
+                    self.workers.values_mut().flat_map(|w| w.gang_ends(uid, attempt)).for_each(|end| *end = last);
+                }
                 for w in self.workers.values_mut().filter(|w| w.hangs.is_none()) {
                     if gathering == j.tasks {
                         w.gang_starts(uid, attempt, now);
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -184,6 +184,14 @@
         }
     }
 
+    /// When the gang's tasks that run here end.
+    pub fn gang_ends(&mut self, job: &str, attempt: u64) -> impl Iterator<Item = &mut Duration> {
+        let here = move |(key, t): &(&(String, u64), &mut Task)| {
+            t.job == job && key.1 == attempt && t.state == TaskState::Running
+        };
+        self.tasks.iter_mut().filter(here).map(|(_, t)| &mut t.turn)
+    }
+
     /// One of the gang's tasks is gone: the others notice after a while.
     pub fn gang_misses(&mut self, job: &str, attempt: u64, now: Duration) {
         for ((_, a), t) in &mut self.tasks {
