--- a/tests/meetings/gap.rs
+++ b/tests/meetings/gap.rs
@@ -4,7 +4,7 @@
 //! the confirmation; nothing else need stop.
 
 use crate::running;
-use crate::world::{CANCEL_S, Job, LEASE_S, SMALL, Size, World, array, gang, s, service};
+use crate::world::{CANCEL_S, CloseLooks, Job, LEASE_S, SMALL, Size, World, array, gang, s, service};
 
 /// What meets, and how.
 #[derive(Debug, Clone, Copy)]
@@ -151,6 +151,24 @@
     }
 }
 
+/// The store answers slowly before it refuses the leader alone and then everybody, and
+/// users ask all nodes for their jobs all the while: nobody is told less than before, and
+/// the withdrawn tasks end in time.
+#[test]
+fn a_slow_store_and_users_who_ask() {
+    for seed in 0..4 {
+        let gap = Gap { by: 1 + seed as usize % 2, mute: seed % 2 == 0, down: (26.0, CANCEL_S * 1.5), ..GAP };
+        let (w, _) = play(4500 + seed, gap, |w, _, _| {
+            w.slow_writes = 0.3 + 0.3 * seed as f64;
+            w.close_looks = Some(CloseLooks { withdraw: 0.0 });
+            for n in 0..60 {
+                w.later(20.5 + f64::from(n), move |w| LEAVE.iter().for_each(|uid| w.look_at(uid)));
+            }
+        });
+        assert!(w.looked > 200, "seed {seed}: {} answers", w.looked);
+    }
+}
+
 /// One controller started a task, another, whose watch had not come to that, withdrew the
 /// job and ended its record, as if nothing of it were left: the task no longer counted for
 /// its team, and nobody was told of the withdrawal any more.
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -159,6 +159,11 @@
         }
     }
 
+    /// Its user asks every node for it, and repeats the submission.
+    pub fn look_at(&mut self, uid: &str) {
+        self.look(uid, false);
+    }
+
     /// Its user calls it off now, at some node, and repeats that as any withdrawal.
     pub fn call_off(&mut self, uid: &str) {
         let node = self.rng.random_range(0..self.nodes.len());
