What was proved of a machine holds under the grant it was proved under

Change: a place is cleared only if it was proved gone under the grant in force. And what was pushed to a machine may run for a lease from then on, answered or not, as a session's lease begins with it: the lease counts as over no earlier.

--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -333,7 +333,7 @@
         let purpose = Purpose::Push { machine: name.to_string(), grant };
         let id = self.call(Target::Worker(addr), "POST", "/commands".into(), Some(body), timeout, purpose);
         if let Some(m) = self.machines.get_mut(name) {
-            m.push = Some(id);
+            m.pushes(id, self.now);
         }
     }
 
--- a/src/controller/segments.rs
+++ b/src/controller/segments.rs
@@ -154,6 +154,7 @@
         change.clear.retain(|(index, attempt)| {
             // What is not ours to say, or known, is dropped; it is seen again.
             let place = job.place(*index, size).filter(|p| p.attempt == *attempt);
+            let place = place.filter(|p| self.proved_gone(&p.machine, uid, *index, *attempt));
             let Some(conds) = place.and_then(|p| self.grant_conds(&p.machine)).filter(|_| !full) else { return full };
             full = !draft.take(uid, &[&Need { conds, machine: None, bytes: bytes::GONE }]);
             if !full && let Some(f) = draft.facts.get_mut(uid) {
@@ -167,6 +168,13 @@
         !full
     }
 
+    /// Whether the attempt was proved gone under the grant in force. A machine that went to
+    /// another controller and came back may have run it on: what was proved before is none.
+    fn proved_gone(&self, machine: &str, uid: &str, index: u32, attempt: u64) -> bool {
+        let (Some(m), Some(h)) = (self.machines.get(machine), self.view.hosts.get(machine)) else { return false };
+        (m.term, m.epoch) == (h.rec.term, h.rec.epoch) && m.gone.contains(&(uid.to_string(), index, attempt))
+    }
+
     /// Takes the job's starts into the draft; false if it is full.
     fn draft_starts(
         &mut self,
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -67,6 +67,9 @@
     floor: u64,
     /// A pushed message that is not answered yet.
     pub push: Option<CallId>,
+    /// When the last one went. What it started may run for a lease from then on, answered
+    /// or not: a session's lease begins with it.
+    pushed_at: Option<Instant>,
     /// Starts and kills pushed in this session, not to be pushed again.
     pushed: BTreeSet<(String, u32, u64, bool)>,
     pub failures: Failures,
@@ -114,6 +117,7 @@
             sure: false,
             floor: 0,
             push: None,
+            pushed_at: None,
             pushed: BTreeSet::new(),
             failures: Failures::default(),
             shut_until: Duration::ZERO,
@@ -326,6 +330,11 @@
         orders
     }
 
+    /// A message is pushed.
+    pub fn pushes(&mut self, id: CallId, now: Instant) {
+        (self.push, self.pushed_at) = (Some(id), Some(now));
+    }
+
     /// Of `orders`, those worth a push: starts and kills not pushed before.
     pub fn to_push(&mut self, orders: Vec<Order>) -> Vec<Order> {
         if self.push.is_some() || !self.confirmed() {
@@ -351,7 +360,7 @@
     /// another controller may have answered the worker, at the latest
     /// `cancel - lease` after it last saw the store.
     pub fn lapsed(&self, now: Instant, lease: Duration, cancel: Duration) -> bool {
-        let ours = self.answered_at.map_or(Duration::ZERO, |t| t + lease);
+        let ours = self.answered_at.max(self.pushed_at).map_or(Duration::ZERO, |t| t + lease);
         now > ours.max(self.owned_since + cancel)
     }
 
--- a/tests/meetings/leaders.rs
+++ b/tests/meetings/leaders.rs
@@ -4,7 +4,7 @@
 use super::{all_over, fleet, withdraw};
 use crate::known::all_are_known;
 use crate::recovery::seeds;
-use crate::world::{CANCEL_S, CloseLooks, LEASE_S, World, array, service};
+use crate::world::{CANCEL_S, CloseLooks, LEASE_S, SMALL, Size, World, array, service};
 use crate::{done, running};
 use rand::RngExt;
 
@@ -277,3 +277,23 @@
         all_are_known(&mut w);
     }
 }
+
+/// A controller stands still for longer than a lease, its clock running on, while others
+/// take its machines over; it goes on, reckons the leases there to be over, and its machines
+/// come back to it before it has written that. They ran on all the while: what was proved
+/// under the old grant proves nothing under the new one.
+#[test]
+fn a_controller_stands_still_and_has_its_machines_back() {
+    for seed in 0..seeds(8) {
+        let rps = [6.0, 10.0, 16.0, 30.0][seed as usize % 4];
+        let mut w = World::sized(9690 + seed, Size { machines: 18, write_rps: rps, ..SMALL });
+        w.cloud.most = 18;
+        w.submit("run-999", array(60, 1e6));
+        w.run_until(70.0);
+        let node = seed as usize % 3;
+        w.stand_still(node, true);
+        w.later(70.0 + LEASE_S + 2.5 + 0.5 * seed as f64, move |w| w.stand_still(node, false));
+        w.run_until(140.0);
+        assert_eq!(running(&w, "run-999"), 60, "seed {seed}");
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -123,6 +123,8 @@
     /// What it asks of the state service is done, and the answers are lost.
     pub answers_lost: bool,
     held: Vec<Value>,
+    /// It stands still: what came meanwhile waits, its clock runs on.
+    waits: Option<Vec<Event>>,
 }
 
 struct Pending {
@@ -342,6 +344,7 @@
                 store_cut: false,
                 answers_lost: false,
                 held: Vec::new(),
+                waits: None,
             });
             w.boot(i);
         }
@@ -369,6 +372,7 @@
 
     pub fn crash(&mut self, i: usize) {
         self.nodes[i].logic = None;
+        self.nodes[i].waits = None;
         self.nodes[i].life += 1;
         let after = match self.restart_between {
             Some((from, to)) => self.rng.random_range(from..to),
@@ -523,7 +527,31 @@
         }
     }
 
+    /// A process stands still, or goes on: its timers first, then all that waited.
+    pub fn stand_still(&mut self, i: usize, still: bool) {
+        if still {
+            self.nodes[i].waits = Some(Vec::new());
+            return;
+        }
+        let waits = self.nodes[i].waits.take().unwrap_or_default();
+        self.give(i, Event::Tick);
+        for event in waits {
+            // Its own time-outs are over before it reads what came.
+            let event = match event {
+                Event::Answer { id, .. } => Event::Answer { id, result: Err(NoAnswer) },
+                other => other,
+            };
+            self.give(i, event);
+        }
+    }
+
     fn give(&mut self, i: usize, event: Event) {
+        if let Some(waits) = self.nodes[i].waits.as_mut() {
+            if !matches!(event, Event::Tick) {
+                waits.push(event);
+            }
+            return;
+        }
         let start = self.starts.get(&i).copied().unwrap_or_default();
         let now = self.now - start;
         let mut actions = Vec::new();
