--- a/src/coordination/machine/tests.rs
+++ b/src/coordination/machine/tests.rs
@@ -232,3 +232,18 @@
     m.note_reply(true, s(6));
     assert!(m.confirmed() && m.sure);
 }
+
+/// A machine that opened no connection lost what it had with its lease; its next session,
+/// of which nobody had heard, began then. What was pushed to it was held to have ended with
+/// the lease of the last answer, long before, and was started elsewhere while it ran.
+#[test]
+fn what_was_pushed_may_run_for_a_lease() {
+    let s = Duration::from_secs;
+    let (lease, cancel) = (s(18), s(48));
+    let mut m = Machine::new(1, 1, 1, s(0));
+    m.answer(s(100));
+    assert!(!m.lapsed(s(118), lease, cancel) && m.lapsed(s(119), lease, cancel));
+    m.pushes(7, s(130));
+    m.push = None;
+    assert!(!m.lapsed(s(148), lease, cancel) && m.lapsed(s(149), lease, cancel));
+}
--- a/tests/meetings/leaders.rs
+++ b/tests/meetings/leaders.rs
@@ -292,7 +292,11 @@
         w.run_until(70.0);
         let node = seed as usize % 3;
         w.stand_still(node, true);
-        w.later(70.0 + LEASE_S + 2.5 + 0.5 * seed as f64, move |w| w.stand_still(node, false));
+        let on = 70.0 + LEASE_S + 2.5 + 0.2 * seed as f64;
+        w.later(on, move |w| w.stand_still(node, false));
+        // The watch brings that they went and, seconds later, that they are back.
+        w.later(on + 0.03 + 0.02 * seed as f64, move |w| _ = w.store.mute.insert(node));
+        w.later(on + 7.0, |w| w.store.mute.clear());
         w.run_until(140.0);
         assert_eq!(running(&w, "run-999"), 60, "seed {seed}");
     }
