Read once more: what a transaction puts, who ends as leader, how a change is put off, each in one place

Cause: the change wrote some things twice: whether a transaction puts a key (commit and coordination::writes), what a user is told whose change may not be written now (the breaker was asked in two places), answering requests and taking up withdrawals, whether a machine's state is under a grant (adopt and proved_gone), and twelve closures of the worlds that end the leader. txn_answer took a tuple that was made to be taken apart. Change: Txn::puts, not_now alone, answer_and_withdraw, Machine::is_under, World::crash_leader; plain arguments. Status codes, bounds, checks and assertions are as they were; the text beside a 503 for a withdrawal while the store is away names the store.

--- a/crates/protocol/src/store.rs
+++ b/crates/protocol/src/store.rs
@@ -66,6 +66,13 @@
     pub ops: Vec<Op>,
 }
 
+impl Txn {
+    /// Whether it writes the key, rather than only look at it or delete it.
+    pub fn puts(&self, key: &str) -> bool {
+        self.ops.iter().any(|op| matches!(op, Op::Put { key: k, .. } if k == key))
+    }
+}
+
 /// Any answer that says how far the ledger has come.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Ledger {
--- a/src/controller/commit.rs
+++ b/src/controller/commit.rs
@@ -96,11 +96,6 @@
     pub(super) failed: u32,
 }
 
-/// Whether the transaction writes the key, rather than only look at it.
-fn puts(txn: &Txn, key: &str) -> bool {
-    txn.ops.iter().any(|op| matches!(op, store::Op::Put { key: k, .. } if k == key))
-}
-
 impl Controller {
     /// Whether `n` changes may be written now that could also wait.
     pub(super) fn may_write(&self, n: f64) -> bool {
@@ -122,7 +117,7 @@
         let mut keys: Vec<String> = txn.conds.iter().map(|c| c.key.clone()).collect();
         keys.retain(|k| !k.starts_with("fq/h/") && !k.starts_with(records::BLOCKS) && k != records::LEAD_KEY);
         // A team's record that is only looked at keeps nobody else from it.
-        keys.retain(|k| !k.starts_with(records::TEAMS) || puts(&txn, k));
+        keys.retain(|k| !k.starts_with(records::TEAMS) || txn.puts(k));
         self.send_txn_within(txn, why, keys, timeout);
     }
 
@@ -131,6 +126,7 @@
         self.send_txn_within(txn, why, keys, self.report_s(1.0));
     }
 
+    /// The same, given up after `timeout`. The one place from which any goes out.
     pub(super) fn send_txn_within(&mut self, txn: Txn, why: Why, keys: Vec<String>, timeout: Duration) {
         debug_assert!(self.retry.may(Retry::Write, self.now), "{} goes past the retry policy", why.name());
         let charge = self.writes.charge(self.now, txn.ops.len() as f64);
@@ -165,13 +161,20 @@
         }
     }
 
-    pub(super) fn txn_answer(&mut self, purpose: (Txn, Why, Vec<String>, Instant), result: &Result<Reply, NoAnswer>) {
-        let (txn, why, keys, sent) = purpose;
+    /// Its answer came, or nothing within its time.
+    pub(super) fn txn_answer(
+        &mut self,
+        txn: Txn,
+        why: Why,
+        keys: &[String],
+        sent: Instant,
+        result: &Result<Reply, NoAnswer>,
+    ) {
         let ended = Ended::of(result);
         if let Ended::Done(revision) = ended {
             self.view_puts(&txn, revision);
         }
-        self.txn_ended(txn, why, &keys, sent, ended);
+        self.txn_ended(txn, why, keys, sent, ended);
     }
 
     fn view_puts(&mut self, txn: &Txn, revision: u64) {
@@ -219,7 +222,7 @@
     /// A transaction whose host keys count as busy as well, and blocks that it grants.
     pub(super) fn txn_keyed(&mut self, txn: Txn, why: Why) {
         let mut keys: Vec<String> = txn.conds.iter().map(|c| c.key.clone()).collect();
-        keys.retain(|k| k != records::LEAD_KEY && (!k.starts_with(records::BLOCKS) || puts(&txn, k)));
+        keys.retain(|k| k != records::LEAD_KEY && (!k.starts_with(records::BLOCKS) || txn.puts(k)));
         self.send_txn(txn, why, keys);
     }
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -693,7 +693,7 @@
                 if result.as_ref().is_ok_and(|r| r.status == 503) {
                     self.writes.give_back(self.now, charge);
                 }
-                self.txn_answer((txn, why, keys, sent), &result);
+                self.txn_answer(txn, why, &keys, sent, &result);
             }
         }
     }
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -163,7 +163,7 @@
             }
             match self.machines.get_mut(name) {
                 // The same grant with another mark on it keeps its counter.
-                Some(m) if (m.term, m.epoch) == (h.rec.term, h.rec.epoch) => m.grant = h.version,
+                Some(m) if m.is_under(h.rec.term, h.rec.epoch) => m.grant = h.version,
                 _ => {
                     let mut m = Machine::new(h.version, h.rec.term, h.rec.epoch, now);
                     let placed = self.view.loads.get(name).map(|l| &l.images);
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -45,19 +45,15 @@
         self.out.push(Action::Respond { conn, status, body, retry_after });
     }
 
-    /// Refuses a change for want of writes, with a place in what can be written.
-    fn put_off(&mut self, conn: ConnId, error: &str) {
-        let retry_after = Some(self.returns.after(self.now, self.writes.rate));
-        let body = encode(&ErrorBody { error: error.into() });
-        self.out.push(Action::Respond { conn, status: 429, body, retry_after });
-    }
-
-    /// Refuses a change that may not be written now.
+    /// Refuses a change that may not be written now: the store is away, or writes are
+    /// wanting, and then with a place in what can be written.
     fn not_now(&mut self, conn: ConnId, error: &str) {
         if self.retry.is_open(Side::State) {
             return self.refuse(conn, 503, "the state service does not answer");
         }
-        self.put_off(conn, error);
+        let retry_after = Some(self.returns.after(self.now, self.writes.rate));
+        let body = encode(&ErrorBody { error: error.into() });
+        self.out.push(Action::Respond { conn, status: 429, body, retry_after });
     }
 
     pub(super) fn refuse(&mut self, conn: ConnId, status: u16, error: &str) {
@@ -185,10 +181,7 @@
     pub(super) fn answer_requests(&mut self, event: Event) {
         let view = &self.view;
         let told = self.asked.event(event, |uid| known(view, uid));
-        self.answer_with(told);
-        for uid in self.asked.withdrawing() {
-            self.send_withdraw(&uid);
-        }
+        self.answer_and_withdraw(told);
     }
 
     /// A write ended that was made because users asked this about the job.
@@ -223,7 +216,7 @@
                 Answer::Tell => self.tell(r.conn, &r.uid),
                 Answer::Unknown => self.refuse(r.conn, 404, "no such job"),
                 Answer::NeverRuns => self.refuse(r.conn, 422, "can never run"),
-                Answer::Limited => self.put_off(r.conn, "not stored"),
+                Answer::Limited => self.not_now(r.conn, "not stored"),
                 // It may have been stored all the same; a repeat will find out.
                 Answer::Later => self.refuse(r.conn, 503, "not known yet"),
             }
@@ -233,6 +226,11 @@
     pub(super) fn requests_tick(&mut self) {
         let view = &self.view;
         let told = self.asked.due(self.now, |uid| known(view, uid));
+        self.answer_and_withdraw(told);
+    }
+
+    /// Answers, and takes up withdrawals that may be written now.
+    fn answer_and_withdraw(&mut self, told: Vec<(Request, Answer)>) {
         self.answer_with(told);
         for uid in self.asked.withdrawing() {
             self.send_withdraw(&uid);
@@ -268,10 +266,8 @@
             return; // taken up again by the next tick
         }
         if !self.may_write_as(Order::First) {
-            let away = self.retry.is_open(Side::State);
-            let how = if away { Written::Failed } else { Written::Limited };
             let view = &self.view;
-            let told = self.asked.written(uid, Asked::Withdrawn, how, |uid| known(view, uid));
+            let told = self.asked.written(uid, Asked::Withdrawn, Written::Limited, |uid| known(view, uid));
             return self.answer_with(told);
         }
         let Some(job) = self.view.jobs.get(uid) else { return };
--- a/src/controller/segments.rs
+++ b/src/controller/segments.rs
@@ -172,7 +172,7 @@
     /// another controller and came back may have run it on: what was proved before is none.
     fn proved_gone(&self, machine: &str, uid: &str, index: u32, attempt: u64) -> bool {
         let (Some(m), Some(h)) = (self.machines.get(machine), self.view.hosts.get(machine)) else { return false };
-        (m.term, m.epoch) == (h.rec.term, h.rec.epoch) && m.gone.contains(&(uid.to_string(), index, attempt))
+        m.is_under(h.rec.term, h.rec.epoch) && m.gone.contains(&(uid.to_string(), index, attempt))
     }
 
     /// Takes the job's starts into the draft; false if it is full.
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Whether this is the machine's state under the grant of that term and epoch.
+    pub fn is_under(&self, term: u64, epoch: u64) -> bool {
+        (self.term, self.epoch) == (term, epoch)
+    }
+
     /// The token in force for this machine.
     pub fn token(&self) -> u64 {
         Warrant::new(self.term, self.epoch, self.counter).0
--- a/src/coordination/writes.rs
+++ b/src/coordination/writes.rs
@@ -81,8 +81,7 @@
     /// A transaction goes out; `since` is the newest change of which anything is known.
     /// One that puts nothing it is conditional on is settled by its answer alone.
     pub fn sent(&mut self, id: CallId, txn: &Txn, since: u64) {
-        let puts = |key: &str| txn.ops.iter().any(|op| matches!(op, Op::Put { key: k, .. } if k == key));
-        if !txn.conds.iter().any(|c| puts(&c.key)) {
+        if !txn.conds.iter().any(|c| txn.puts(&c.key)) {
             return;
         }
         let write = Write::new(txn, since);
--- a/tests/meetings/copies.rs
+++ b/tests/meetings/copies.rs
@@ -147,8 +147,7 @@
                 trouble(&mut w, n + i, at - before);
             }
             w.later(at, move |w| {
-                let leader = w.store.leader().unwrap_or(0);
-                w.crash(leader);
+                w.crash_leader();
                 if n % 3 < 2 {
                     (0..w.nodes.len()).for_each(|i| w.crash(i));
                 }
@@ -183,8 +182,7 @@
             trouble(&mut w, n, at - before);
             w.later(at, move |w| {
                 w.hold_for_next.clear();
-                let leader = w.store.leader().unwrap_or(0);
-                w.crash(leader);
+                w.crash_leader();
                 if n % 3 > 0 {
                     (0..w.nodes.len()).for_each(|i| w.crash(i));
                 }
--- a/tests/meetings/drawn.rs
+++ b/tests/meetings/drawn.rs
@@ -91,10 +91,7 @@
         }
         15 => {
             w.later(at, |w| w.copies_for_next = Some(0.1));
-            w.later(end, |w| {
-                let leader = w.store.leader().unwrap_or(0);
-                w.crash(leader);
-            });
+            w.later(end, |w| w.crash_leader());
             w.later(end + 20.0, |w| w.copies_for_next = None);
         }
         16 => {
--- a/tests/meetings/leaders.rs
+++ b/tests/meetings/leaders.rs
@@ -67,13 +67,9 @@
             // From one to another and back to the first, whose old process wrote last.
             w.later(at, move |w| {
                 w.restart_s = gap;
-                let leader = w.store.leader().unwrap_or(0);
-                w.crash(leader);
-            });
-            w.later(at + gap * 2.0, |w| {
-                let leader = w.store.leader().unwrap_or(0);
-                w.crash(leader);
+                w.crash_leader();
             });
+            w.later(at + gap * 2.0, |w| w.crash_leader());
             if n % 2 == 0 {
                 w.later(at + 4.0, move |w| {
                     for i in 0..nodes {
@@ -116,10 +112,7 @@
             }
         }
         w.restart_s = [0.05, 2.0, 30.0][seed as usize % 3];
-        w.later(16.0, |w| {
-            let leader = w.store.leader().unwrap_or(0);
-            w.crash(leader);
-        });
+        w.later(16.0, |w| w.crash_leader());
         w.run_until(260.0);
         all_over(&w);
         all_are_known(&mut w);
@@ -253,10 +246,7 @@
                 w.later(at + 5.5, move |w| w.nodes[leader].refused = false);
             });
             // And from that one on, mostly back.
-            w.later(at + 6.0, |w| {
-                let leader = w.store.leader().unwrap_or(0);
-                w.crash(leader);
-            });
+            w.later(at + 6.0, |w| w.crash_leader());
             if n % 2 == 1 {
                 w.later(at + 8.0, move |w| {
                     for i in 0..nodes {
--- a/tests/meetings/machines.rs
+++ b/tests/meetings/machines.rs
@@ -300,10 +300,7 @@
             }
         }
         if seed % 2 == 0 {
-            w.later(15.0, |w| {
-                let leader = w.store.leader().unwrap_or(0);
-                w.crash(leader);
-            });
+            w.later(15.0, |w| w.crash_leader());
         }
         w.later(20.0, |w| w.submit("run-601", Job { site: Some("b"), ..array(20, 4.0) }));
         w.later(24.0, |w| withdraw(w, "run-301", None));
@@ -388,10 +385,7 @@
         zone.iter().for_each(|n| w.workers.get_mut(n).unwrap().mute = true);
         w.later(24.0, |w| w.submit("run-989", service(60)));
         if seed % 4 >= 2 {
-            w.later(22.0, |w| {
-                let leader = w.store.leader().unwrap_or(0);
-                w.crash(leader);
-            });
+            w.later(22.0, |w| w.crash_leader());
         }
         let end = 20.0 + LEASE_S * [1.5, 4.0][seed as usize / 2 % 2];
         w.run_until(end.min(20.0 + LEASE_S * 2.0));
--- a/tests/meetings/room.rs
+++ b/tests/meetings/room.rs
@@ -40,10 +40,7 @@
             }
         }
         for at in [30.0, 50.0] {
-            w.later(at, |w| {
-                let leader = w.store.leader().unwrap_or(0);
-                w.crash(leader);
-            });
+            w.later(at, |w| w.crash_leader());
         }
         w.later(90.0, |w| w.slow_links = None);
         w.calm_from(90.0);
@@ -93,10 +90,7 @@
         for n in 0..4 {
             w.submit(&format!("run-4{n}3"), capped(array(4, 8.0)));
         }
-        w.later(20.0, |w| {
-            let leader = w.store.leader().unwrap_or(0);
-            w.crash(leader);
-        });
+        w.later(20.0, |w| w.crash_leader());
         for n in 0..2 {
             w.later(20.0 + 0.3 * f64::from(n), move |w| withdraw(w, &format!("run-3{n}9"), None));
         }
--- a/tests/meetings/troubles.rs
+++ b/tests/meetings/troubles.rs
@@ -57,10 +57,7 @@
     (w.late_answers, w.copies_for_next) = (Some((0.3, (0.5, 9.0))), Some(0.2));
     w.submit("run-999", service(24));
     for n in 0..3 {
-        w.later(20.0 + 20.0 * f64::from(n), |w| {
-            let leader = w.store.leader().unwrap_or(0);
-            w.crash(leader);
-        });
+        w.later(20.0 + 20.0 * f64::from(n), |w| w.crash_leader());
     }
     w.run_until(80.0);
     (w.late_answers, w.copies_for_next) = (None, None);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -370,6 +370,12 @@
         self.at(0.01, Ev::Tick(i, life));
     }
 
+    /// Whoever leads ends, or the first where nobody does.
+    pub fn crash_leader(&mut self) {
+        let leader = self.store.leader().unwrap_or(0);
+        self.crash(leader);
+    }
+
     pub fn crash(&mut self, i: usize) {
         self.nodes[i].logic = None;
         self.nodes[i].waits = None;
