--- a/tests/meetings/mod.rs
+++ b/tests/meetings/mod.rs
@@ -5,6 +5,7 @@
 mod gap;
 mod late;
 mod leaders;
+mod troubles;
 
 use super::known::fleet;
 use super::world::{Job, LEASE_S, World, s};
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -224,6 +224,11 @@
         text(lead, "member").trim_start_matches("perch-").parse().ok()
     }
 
+    /// The term of whoever leads, or led last.
+    pub fn term(&self) -> u64 {
+        self.keys.get("fq/term").map_or(0, |e| number(&e.data, "term"))
+    }
+
     /// The highest number of any segment in the logs.
     pub fn newest_segment(&self) -> u64 {
         let logs = self.keys.iter().filter(|(k, _)| k.starts_with("fq/l/"));
--- /dev/null
+++ b/tests/world/users.rs
@@ -0,0 +1,314 @@
+//! Stand-in for users: they submit, ask, call off, and hold every answer against what had
+//! been told before they asked. Some look closely: at all nodes, within milliseconds after
+//! they were told something; some ask for what cannot be.
+
+use super::{Ev, Job, Pending, Source, World, bytes, get, number, s, text, value};
+use ciborium::{Value, cbor};
+use rand::RngExt;
+
+/// What users know of a job. Of the last two none takes the place of the other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Told {
+    Nothing,
+    Accepted,
+    Done,
+    Withdrawn,
+}
+
+/// What a user asked, and about which job.
+pub enum Asked {
+    Submit(String),
+    Poll(String),
+    Withdraw(String),
+    /// One of many at once; nobody asks again for want of an answer.
+    Look(String),
+    /// A question of the test's own, to that node.
+    Test(String, usize),
+    /// A request that must be refused with this status.
+    Odd(String, u16),
+}
+
+impl Asked {
+    pub fn uid(&self) -> &str {
+        match self {
+            Asked::Submit(uid) | Asked::Poll(uid) | Asked::Withdraw(uid) | Asked::Look(uid) => uid,
+            Asked::Test(uid, _) | Asked::Odd(uid, _) => uid,
+        }
+    }
+}
+
+/// Right after users were told something they ask all nodes, and repeat the submission.
+#[derive(Debug, Clone, Copy)]
+pub struct CloseLooks {
+    /// Such a part of jobs is called off, at all nodes, as soon as it was accepted.
+    pub withdraw: f64,
+}
+
+/// Milliseconds after an answer at which all nodes are asked.
+const LOOKS_MS: [f64; 3] = [0.0, 8.0, 40.0];
+
+impl World {
+    /// What had been told of a job by now.
+    pub(super) fn told(&self, uid: &str) -> Told {
+        match self.jobs.get(uid) {
+            Some(j) if j.told_done => Told::Done,
+            Some(j) if j.withdrawn_at.is_some() => Told::Withdrawn,
+            Some(j) if j.accepted => Told::Accepted,
+            _ => Told::Nothing,
+        }
+    }
+
+    pub(super) fn replied(&mut self, p: Pending, status: u16, body: &[u8]) {
+        match p.source {
+            Source::Copy => {}
+            Source::Worker(name, tally) => {
+                let now = self.now;
+                let Some(w) = self.workers.get_mut(&name) else { return };
+                if (w.cut || w.hangs.is_some()) && status != 0 {
+                    return;
+                }
+                let started = w.answered(tally, status, &value(body), now);
+                self.starting(&name, started);
+            }
+            Source::User(Asked::Test(uid, node)) => {
+                self.asked.insert((uid, node), status);
+            }
+            Source::User(Asked::Odd(uid, must)) => {
+                let later = matches!(status, 0 | 429 | 503);
+                assert!(status == must || later, "seed {}: {uid} got {status}, not {must}", self.seed);
+                self.odd_refused += u32::from(status == must);
+            }
+            Source::User(Asked::Submit(uid)) => {
+                assert!(status != 400 && status != 422, "seed {}: good submission got {status}", self.seed);
+                self.heard(&uid, p.floor, status, &value(body));
+                self.at(1.0, Ev::User(uid));
+            }
+            Source::User(Asked::Poll(uid)) => {
+                self.heard(&uid, p.floor, status, &value(body));
+                self.at(2.0, Ev::User(uid));
+            }
+            Source::User(Asked::Withdraw(uid)) => {
+                let over = matches!(text(&value(body), "status").as_str(), "withdrawn" | "done");
+                assert!(status != 200 || over, "seed {}: a withdrawal of {uid} got another answer", self.seed);
+                self.heard(&uid, p.floor, status, &value(body));
+                self.at(1.0, Ev::User(uid));
+            }
+            Source::User(Asked::Look(uid)) => {
+                self.looked += u32::from(status == 200);
+                self.heard(&uid, p.floor, status, &value(body));
+            }
+        }
+    }
+
+    /// An answer about a job: never older than what had been told when it was asked for.
+    fn heard(&mut self, uid: &str, floor: Told, status: u16, body: &Value) {
+        let (seed, now) = (self.seed, self.now);
+        let before = self.told(uid);
+        let j = self.jobs.get_mut(uid).unwrap();
+        let known = floor >= Told::Accepted;
+        assert!(!known || !matches!(status, 400 | 404 | 422), "seed {seed}, {now:?}: accepted {uid} got {status}");
+        if status != 200 && status != 201 {
+            return;
+        }
+        let state = text(body, "status");
+        match floor {
+            Told::Done => assert_eq!(state, "done", "seed {seed}, {now:?}: {uid} went back"),
+            Told::Withdrawn => assert_eq!(state, "withdrawn", "seed {seed}, {now:?}: {uid} went back"),
+            Told::Nothing | Told::Accepted => {}
+        }
+        j.accepted = true;
+        if state == "done" {
+            assert_eq!(j.done.len() as u32, j.tasks, "seed {seed}: {uid} is told done too early");
+            j.told_done = true;
+        }
+        if state == "withdrawn" {
+            assert!(j.withdraw_asked, "seed {seed}: {uid} withdrawn by nobody");
+            j.withdrawn_at = j.withdrawn_at.or(Some(now));
+        }
+        assert!(!j.told_done || j.withdrawn_at.is_none(), "seed {seed}: {uid} is told both done and withdrawn");
+        j.running = number(body, "running") as u32;
+        let news = self.told(uid);
+        if let Some(looks) = self.close_looks.filter(|_| news > before) {
+            let leave = news == Told::Accepted && self.rng.random_bool(looks.withdraw);
+            for ms in LOOKS_MS {
+                let uid = uid.to_string();
+                self.at(ms / 1000.0, Ev::Do(Box::new(move |w| w.look(&uid, leave))));
+            }
+        }
+    }
+
+    /// Asks every node for the job, repeats its submission, and calls it off where its
+    /// user does.
+    fn look(&mut self, uid: &str, leave: bool) {
+        let j = self.jobs.get_mut(uid).unwrap();
+        j.withdraw_asked |= leave;
+        let body = bytes(&spec(uid, j));
+        for node in (0..self.nodes.len()).filter(|i| self.nodes[*i].logic.is_some()).collect::<Vec<_>>() {
+            let mut ask = |method: &str, path: &str, body: Vec<u8>| {
+                let conn = self.request(node, Source::User(Asked::Look(uid.into())), method, path, body, false);
+                self.at(5.0, Ev::Timeout(conn));
+            };
+            if leave {
+                ask("POST", &format!("/work/{uid}/withdraw"), vec![]);
+            }
+            ask("POST", "/work", body.clone());
+            ask("GET", &format!("/work/{uid}"), vec![]);
+        }
+    }
+
+    /// Its user calls it off now, at some node, and repeats that as any withdrawal.
+    pub fn call_off(&mut self, uid: &str) {
+        let node = self.rng.random_range(0..self.nodes.len());
+        self.jobs.get_mut(uid).unwrap().withdraw_asked = true;
+        let source = Source::User(Asked::Look(uid.into()));
+        let conn = self.request(node, source, "POST", &format!("/work/{uid}/withdraw"), vec![], false);
+        self.at(5.0, Ev::Timeout(conn));
+    }
+
+    /// Now and then somebody repeats a submission, withdraws what is done, or asks for
+    /// what cannot be.
+    pub(super) fn odd(&mut self) {
+        if self.odd_requests <= 0.0 || !self.rng.random_bool((self.odd_requests * 0.02).min(1.0)) {
+            return;
+        }
+        let node = self.rng.random_range(0..self.nodes.len());
+        let nth = self.rng.random_range(0..1000);
+        let pick = |w: &World, f: fn(&Job) -> bool| {
+            let all: Vec<&String> = w.jobs.iter().filter(|(_, j)| f(j)).map(|(uid, _)| uid).collect();
+            all.get(nth % all.len().max(1)).map(|uid| (*uid).clone())
+        };
+        let (uid, source, path, body) = match nth % 4 {
+            0 => {
+                let Some(uid) = pick(self, |j| j.accepted && !j.told_done && j.withdrawn_at.is_none()) else { return };
+                let body = bytes(&spec(&uid, &self.jobs[&uid]));
+                (uid.clone(), Asked::Look(uid), "/work".to_string(), body)
+            }
+            1 => {
+                let Some(uid) = pick(self, |j| j.told_done && !j.withdraw_asked) else { return };
+                (uid.clone(), Asked::Look(uid.clone()), format!("/work/{uid}/withdraw"), vec![])
+            }
+            _ => {
+                let uid = format!("run-77{nth:04}");
+                let (body, status) = impossible(&uid, nth / 4);
+                (uid.clone(), Asked::Odd(uid, status), "/work".to_string(), bytes(&body))
+            }
+        };
+        let asks = matches!(&source, Asked::Odd(..));
+        let conn = self.request(node, Source::User(source), "POST", &path, body, false);
+        self.at(5.0, Ev::Timeout(conn));
+        if asks {
+            // Nobody knows it afterwards.
+            let after = Source::User(Asked::Odd(uid.clone(), 404));
+            let conn = self.request(node, after, "GET", &format!("/work/{uid}"), vec![], false);
+            self.at(5.0, Ev::Timeout(conn));
+        }
+    }
+
+    pub(super) fn user(&mut self, uid: &str) {
+        let j = self.jobs.get_mut(uid).unwrap();
+        let via = |i: &usize| j.via.is_none_or(|v| v == *i);
+        let up: Vec<usize> = (0..self.nodes.len()).filter(|i| self.nodes[*i].logic.is_some()).filter(via).collect();
+        if up.is_empty() {
+            return self.at(1.0, Ev::User(uid.to_string()));
+        }
+        let (path, source, method, body) = if !j.accepted {
+            j.submitted = true;
+            ("/work".to_string(), Asked::Submit(uid.into()), "POST", bytes(&spec(uid, j)))
+        } else if j.withdraw_asked && j.withdrawn_at.is_none() && !j.told_done {
+            (format!("/work/{uid}/withdraw"), Asked::Withdraw(uid.into()), "POST", vec![])
+        } else {
+            (format!("/work/{uid}"), Asked::Poll(uid.into()), "GET", vec![])
+        };
+        let node = up[self.rng.random_range(0..up.len())];
+        let conn = self.request(node, Source::User(source), method, &path, body, false);
+        self.at(2.0, Ev::Timeout(conn));
+    }
+
+    /// Asks a node for a job; `asked` has what comes back.
+    pub fn ask(&mut self, uid: &str, node: usize) {
+        self.asked.insert((uid.to_string(), node), 0);
+        let source = Source::User(Asked::Test(uid.to_string(), node));
+        let conn = self.request(node, source, "GET", &format!("/work/{uid}"), vec![], false);
+        self.at(2.0, Ev::Timeout(conn));
+    }
+
+    /// From then on no trouble is left.
+    pub fn calm_from(&mut self, at_s: f64) {
+        self.later(at_s, |w| w.calm_since = Some(s(w.now.as_secs_f64())));
+    }
+}
+
+/// Fields without which a submission is malformed: all that may not be null.
+const NEEDED: [&str; 17] = [
+    "uid",
+    "docket",
+    "desk",
+    "form",
+    "urgency",
+    "parcels",
+    "cores",
+    "gpus",
+    "mem_gb",
+    "together",
+    "apart",
+    "loaners",
+    "bundle",
+    "size_gb",
+    "expected_s",
+    "stamp_every_s",
+    "stamp_s",
+];
+
+/// A job that lacks a field (400), or can never run (422): unknown team; fits no machine
+/// type by one amount, by its builds, by its zone; over its team's limit, which for a gang
+/// and a service holds for all tasks together and for an array for one.
+fn impossible(uid: &str, nth: usize) -> (Value, u16) {
+    let gang = |cores: f64, tasks: u32| Job { team: "capped".into(), cores, gpus: 0.0, ..super::gang(tasks) };
+    let with = |name: &str, v: Value| {
+        let mut spec = spec(uid, &super::array(3, 5.0));
+        let fields = spec.as_map_mut().unwrap();
+        fields.iter_mut().filter(|(k, _)| k.as_text() == Some(name)).for_each(|f| f.1 = v.clone());
+        spec
+    };
+    match nth % (NEEDED.len() + 10) {
+        n if n < NEEDED.len() => {
+            let mut spec = spec(uid, &super::array(3, 5.0));
+            assert!(get(&spec, NEEDED[n]).is_some());
+            spec.as_map_mut().unwrap().retain(|(k, _)| k.as_text() != Some(NEEDED[n]));
+            (spec, 400)
+        }
+        n => {
+            let way = n - NEEDED.len();
+            let spec = match way {
+                0 => with("desk", Value::Text("nobody".into())),
+                1 => with("cores", Value::Float(8.5)),
+                2 => with("gpus", Value::Float(5.0)),
+                3 => with("mem_gb", Value::Float(32.5)),
+                4 => with("builds", cbor!(["other"]).unwrap()),
+                5 => with("builds", cbor!([]).unwrap()),
+                6 => with("site", Value::Text("elsewhere".into())),
+                7 => spec(uid, &gang(8.0, 1000)),
+                8 => spec(uid, &Job { standing: true, gang: false, ..gang(8.0, 1000) }),
+                _ => with("builds", cbor!(["other", "none"]).unwrap()),
+            };
+            (spec, 422)
+        }
+    }
+}
+
+fn spec(uid: &str, j: &Job) -> Value {
+    let (form, urgency, docket) = match () {
+        _ if j.standing => ("standing", "urgent", "web"),
+        _ if j.gang => ("ensemble", "standard", "train"),
+        _ if j.idle => ("batch", "idle", "sweep"),
+        _ if j.aimed => ("batch", "standard", "report"),
+        _ => ("batch", "standard", "calc"),
+    };
+    cbor!({
+        "uid" => uid, "docket" => docket, "desk" => j.team.clone(), "form" => form, "urgency" => urgency,
+        "parcels" => j.tasks, "cores" => j.cores, "gpus" => j.gpus, "mem_gb" => 1.0, "bundle" => "img-1",
+        "size_gb" => 0.5, "builds" => null, "site" => null, "together" => j.together, "apart" => j.apart,
+        "loaners" => true, "expected_s" => j.run_s.min(100.0), "stamp_every_s" => if j.gang || j.idle { 2.0 } else { 0.0 }, "stamp_s" => 1.5, "due_s" => null
+    })
+    .unwrap()
+}
