--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -617,7 +617,9 @@
         let margin = w.report_s;
         let limit = self.secs((w.cancel_s - w.lease_s - margin) / DRIFT);
         let known = |at: Instant| self.now.saturating_sub(at) < limit;
-        self.ses.following() && (self.ses.fresh_at.is_some_and(known) || self.surely_fresh_at().is_some_and(known))
+        // A view read anew may lack what was told by the one before.
+        let whole = self.ses.following() && self.view.has_all_learned();
+        whole && (self.ses.fresh_at.is_some_and(known) || self.surely_fresh_at().is_some_and(known))
     }
 
     fn fresh(&self) -> bool {
--- /dev/null
+++ b/tests/meetings/answers.rs
@@ -0,0 +1,204 @@
+//! Answers to users: asked at all nodes within milliseconds after something was told, at
+//! the moment of a job's last end, and while answers of the state service are lost.
+
+use super::{all_over, fleet, withdraw};
+use crate::known::all_are_known;
+use crate::recovery::seeds;
+use crate::world::{CloseLooks, Job, World, array, s, service};
+use rand::RngExt;
+
+/// Jobs of one to three tasks that come over half a minute.
+fn work(w: &mut World, jobs: usize) -> Vec<(f64, String)> {
+    let mut all = Vec::new();
+    for n in 0..jobs {
+        let (at, tasks) = (w.rng.random_range(4.0..34.0), w.rng.random_range(1..4));
+        let uid = format!("run-{n:03}{}", n % 5);
+        all.push((at, uid.clone()));
+        w.later(at, move |w| w.submit(&uid, array(tasks, 3.0)));
+    }
+    all
+}
+
+/// Users ask all nodes for the job, repeat its submission, and some call it off, right
+/// after it was accepted, ended or withdrawn; meanwhile a node lost the store, one reads
+/// its state anew, and one began a moment ago.
+#[test]
+fn no_node_answers_something_older() {
+    let mut looked = 0;
+    for seed in 0..seeds(4) {
+        let nodes = [3, 7][seed as usize % 2];
+        let mut w = fleet(9900 + seed, nodes, 12);
+        w.close_looks = Some(CloseLooks { withdraw: 0.3 });
+        w.late_answers = Some((0.25, (0.05, 1.4)));
+        w.restart_between = Some((0.01, 0.5));
+        work(&mut w, 30);
+        for n in 0..8 {
+            let (node, at) = (w.rng.random_range(0..nodes), 5.0 + 4.0 * f64::from(n));
+            w.later(at, move |w| match n % 4 {
+                0 => w.nodes[node].refused = true,
+                1 => w.crash(node),
+                2 => w.store.forgets.extend([node]),
+                _ => w.store.mute.extend([node]),
+            });
+            w.later(at + 3.0, move |w| {
+                w.nodes[node].refused = false;
+                w.store.mute.clear();
+            });
+        }
+        w.run_until(50.0);
+        (w.late_answers, w.close_looks) = (None, None);
+        w.run_until(70.0);
+        all_over(&w);
+        all_are_known(&mut w);
+        looked += w.looked;
+    }
+    assert!(looked > 1000, "{looked} looks");
+}
+
+/// One node's acceptance is under way, its answer a second late and its watch still, when
+/// another node confirms that the job is withdrawn; then the submission is repeated there.
+#[test]
+fn a_repeat_does_not_join_what_is_under_way() {
+    let mut left = 0;
+    for seed in 0..seeds(6) {
+        let mut w = fleet(9920 + seed, 3, 12);
+        w.close_looks = Some(CloseLooks { withdraw: 0.0 });
+        w.late_answers = Some((1.0, (0.9, 1.2)));
+        w.run_until(5.0);
+        for n in 0..8 {
+            let (at, uid, node) = (6.0 + 4.0 * f64::from(n), format!("run-{n}01"), n as usize % 3);
+            let job = Job { via: Some(node), ..array(1, 60.0) };
+            let (first, second) = (uid.clone(), uid);
+            w.later(at - 0.1, move |w| w.store.mute.extend([node]));
+            w.later(at, move |w| w.submit(&first, job));
+            w.later(at + 0.3, move |w| w.call_off(&second));
+            w.later(at + 1.8, |w| w.store.mute.clear());
+        }
+        w.run_until(50.0);
+        w.late_answers = None;
+        w.jobs.values_mut().for_each(|j| j.via = None);
+        w.run_until(70.0);
+        all_over(&w);
+        left += w.jobs.values().filter(|j| j.withdrawn_at.is_some()).count();
+    }
+    assert!(left >= 30, "{left} of 48 were withdrawn");
+}
+
+/// A cancellation, a question and a repeated submission meet the end of a job's last
+/// task, with no other trouble: one of the two ends is told, by all, for good.
+#[test]
+fn the_last_end_meets_a_cancellation() {
+    let (mut done, mut left) = (0, 0);
+    for seed in 0..seeds(4) {
+        let mut w = fleet(9940 + seed, [3, 7][seed as usize % 2], 12);
+        w.cancel_at_end = Some(0.8);
+        w.close_looks = Some(CloseLooks { withdraw: 0.0 });
+        work(&mut w, 40);
+        w.run_until(60.0);
+        all_over(&w);
+        assert_eq!((w.unanswered, w.started_withdrawn), (0, 0), "seed {seed}");
+        all_are_known(&mut w);
+        done += w.jobs.values().filter(|j| j.told_done).count();
+        left += w.jobs.values().filter(|j| j.withdrawn_at.is_some()).count();
+    }
+    assert!(done > 20 && left > 20, "{done} done, {left} withdrawn");
+}
+
+/// A quarter of all transactions are carried out at once and their answers are lost,
+/// while other nodes read what was written: the watch settles them. Nobody waits in vain,
+/// submissions and starts are hardly slower.
+#[test]
+fn lost_answers_are_settled_by_what_the_store_shows() {
+    for seed in 0..seeds(4) {
+        let mut w = fleet(9960 + seed, [3, 7][seed as usize % 2], 24);
+        w.run_until(4.0);
+        w.late_answers = Some((0.25, (4.0, 200.0)));
+        let mut jobs = work(&mut w, 60);
+        for n in 0..20 {
+            let (at, uid) = (w.rng.random_range(4.0..34.0), format!("run-9{n:02}9"));
+            jobs.push((at, uid.clone()));
+            w.later(at, move |w| w.submit(&uid, service(1)));
+        }
+        jobs.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (mut quick, mut running) = (0, 0);
+        let all = jobs.len();
+        for (at, uid) in jobs {
+            w.run_until(w.now.as_secs_f64().max(at + 0.3));
+            quick += usize::from(w.jobs[&uid].accepted);
+            if uid.ends_with('9') {
+                w.run_until(w.now.as_secs_f64().max(at + 2.5));
+                running += crate::running(&w, &uid);
+            }
+        }
+        assert!(quick * 100 >= all * 95, "seed {seed}: {quick} of {all} within 300 ms");
+        assert!(running >= 18, "seed {seed}: {running} of 20 services run after 2.5 s");
+        for n in 0..20 {
+            withdraw(&mut w, &format!("run-9{n:02}9"), None);
+        }
+        w.run_until(60.0);
+        assert_eq!(w.unanswered, 0, "seed {seed}: requests without an answer");
+        all_over(&w);
+        all_are_known(&mut w);
+    }
+}
+
+/// Half of all transactions are carried out only seconds later, and nothing shows them
+/// before: users are told to come back within their wait.
+#[test]
+fn no_user_waits_for_a_write_in_doubt() {
+    for seed in 0..seeds(3) {
+        let mut w = fleet(9980 + seed, [3, 7][seed as usize % 2], 12);
+        w.late_writes = Some((0.5, (2.0, 12.0)));
+        for (at, uid) in work(&mut w, 40) {
+            w.later(at + 3.0, move |w| withdraw(w, &uid, None));
+        }
+        w.run_until(60.0);
+        w.late_writes = None;
+        w.run_until(90.0);
+        assert_eq!(w.unanswered, 0, "seed {seed}: requests without an answer");
+        all_over(&w);
+    }
+}
+
+/// Withdrawals are answered while their controller reads its state anew, and pages it read
+/// before lack them; its watch stands still, and no other controller tells it. It answers
+/// no worker by the view that it then has: what was told is not in it.
+#[test]
+fn a_view_read_anew_speaks_for_nothing_until_it_has_what_was_told() {
+    for (seed, slow) in [(9991, 0.12), (9992, 0.14)] {
+        let mut w = fleet(seed, 3, 24);
+        w.submit("run-999", service(48));
+        w.run_until(20.0);
+        let leader = w.store.leader().expect("somebody leads");
+        let node = (leader + 1) % 3;
+        w.nodes[node].deaf = true;
+        let uids: Vec<String> = (0..30).map(|n| format!("run-{n:02}9")).collect();
+        for uid in &uids {
+            w.submit(uid, Job { via: Some(node), ..array(1, 1e6) });
+        }
+        w.run_until(21.2);
+        // On their way when it begins to read, carried out in the middle of that.
+        w.slow_writes = slow;
+        uids.iter().for_each(|uid| w.call_off_at(uid, node));
+        w.run_until(21.21);
+        w.slow_writes = 0.0;
+        w.store.forgets.insert(node);
+        w.submit("run-888", Job { via: Some(leader), ..array(1, 1.0) });
+        w.run_until(21.3);
+        let others = (0..3).filter(|o| *o != node);
+        w.peers_cut.extend(others.map(|o| (o, node)));
+        w.store.mute.insert(node);
+        w.nodes[node].deaf = false;
+        w.run_until(22.0);
+        assert!(w.jobs.values().filter(|j| j.withdrawn_at.is_some()).count() > 10, "seed {seed}");
+        w.run_until(25.5);
+        let served = w.workers.values().filter(|x| x.node == node && x.lease_from > s(22.0)).count();
+        assert_eq!(served, 0, "seed {seed}: workers were answered by a view that lacks withdrawals");
+        w.store.mute.clear();
+        w.peers_cut.clear();
+        w.jobs.values_mut().for_each(|j| j.via = None);
+        w.run_until(45.0);
+        assert_eq!(w.started_withdrawn, 0, "seed {seed}");
+        all_over(&w);
+    }
+}
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -31,6 +31,8 @@
     pub holds_writes: bool,
     /// The watches of these nodes stand still; all else is served.
     pub mute: BTreeSet<usize>,
+    /// The next watch of these nodes is told that it is too old.
+    pub forgets: BTreeSet<usize>,
     held: Vec<Value>,
     /// Puts and deletes a second, with a burst worth one second.
     pub write_rps: f64,
@@ -133,6 +135,9 @@
                 None => Some((404, vec![])),
             };
         }
+        if path.starts_with("/follow?") && self.forgets.remove(&node) {
+            return Some((410, vec![]));
+        }
         if path.starts_with("/follow?") {
             let after: u64 = arg("after").parse().unwrap();
             let hold: u64 = arg("hold_ms").parse().unwrap();
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -159,6 +159,11 @@
     /// Its user calls it off now, at some node, and repeats that as any withdrawal.
     pub fn call_off(&mut self, uid: &str) {
         let node = self.rng.random_range(0..self.nodes.len());
+        self.call_off_at(uid, node);
+    }
+
+    /// The same, at this node.
+    pub fn call_off_at(&mut self, uid: &str, node: usize) {
         self.jobs.get_mut(uid).unwrap().withdraw_asked = true;
         let source = Source::User(Asked::Look(uid.into()));
         let conn = self.request(node, source, "POST", &format!("/work/{uid}/withdraw"), vec![], false);
