Meetings: commands of a deposed leader after the new one's; every team at its limit as leaders change

Change. late::commands_of_a_deposed_leader_arrive_after_the_new_ones: a full fleet, each push of the leader held up, urgent work through the next one. withdrawals:: every_team_is_at_its_limit_as_leaders_change: both teams at 36 CPUs, machines cut off, hanging, deaf and mute, leaders ending before, in and after. The world limits both teams, counts what came late and was refused, and draws two more troubles.

--- a/tests/meetings/drawn.rs
+++ b/tests/meetings/drawn.rs
@@ -116,6 +116,14 @@
                 w.later(w.now.as_secs_f64() + after, move |w| w.call_off(&uid));
             }
         }),
+        20 => {
+            w.later(at, |w| w.slow_watches = Some((0.3, (0.05, 1.5))));
+            w.later(end, |w| w.slow_watches = None);
+        }
+        21 => {
+            w.later(at, move |w| w.stand_still(node, true));
+            w.later(end, move |w| w.stand_still(node, false));
+        }
         _ => w.later(at, move |w| {
             let now = w.now;
             for name in picked(w) {
@@ -125,7 +133,7 @@
     }
 }
 
-const TROUBLES: u32 = 21;
+const TROUBLES: u32 = 23;
 
 #[test]
 fn pairs_and_triples_of_troubles() {
--- a/tests/meetings/late.rs
+++ b/tests/meetings/late.rs
@@ -92,6 +92,54 @@
     }
 }
 
+/// Whoever leads fills the fleet, and each direct command of it is on its way when it ends
+/// or is deposed; the next leader has its machines, kills there what was withdrawn or gives
+/// way to urgent work, starts that in its place, and then the commands arrive. They start
+/// nothing that runs elsewhere or has no room any more.
+#[test]
+fn commands_of_a_deposed_leader_arrive_after_the_new_ones() {
+    let mut came = (0, 0);
+    for seed in 0..seeds(4) {
+        let mut w = fleet(9250 + seed, [3, 7][seed as usize % 2], 12);
+        w.cloud.most = 12;
+        w.submit("run-999", service(10));
+        w.run_until(14.0);
+        for round in 0..4u32 {
+            let at = 15.0 + 20.0 * f64::from(round);
+            // Ended for long or for a moment, or refused by the store and alive.
+            let way = (seed as u32 + round) % 3;
+            w.later(at, move |w| w.late_pushes = Some((1.0, (1.0, 12.0))));
+            for n in 0..8 {
+                let uid = format!("run-{round}{n:02}9");
+                // Six fill what is free; two are urgent and come once another leads.
+                let begins = if n < 6 { at + w.rng.random_range(0.0..0.5) } else { at + w.rng.random_range(1.0..6.0) };
+                let (job, name) = (if n < 6 { array(8, 1e6) } else { service(16) }, uid.clone());
+                w.later(begins, move |w| w.submit(&name, job));
+                // Some leave before anybody started them, some after, and all for the next round.
+                let leaves = if n % 3 == 0 { begins + w.rng.random_range(0.1..6.0) } else { at + 15.0 };
+                w.later(leaves, move |w| withdraw(w, &uid, None));
+            }
+            w.later(at + 0.8, move |w| {
+                w.late_pushes = None;
+                let Some(leader) = w.store.leader() else { return };
+                w.restart_s = [0.1, 14.0][way as usize % 2];
+                if way < 2 {
+                    return w.crash(leader);
+                }
+                w.nodes[leader].refused = true;
+                w.later(at + 12.0, move |w| w.nodes[leader].refused = false);
+            });
+        }
+        w.calm_from(110.0);
+        w.run_until(200.0);
+        all_over(&w);
+        assert_eq!(running(&w, "run-999"), 10, "seed {seed}");
+        all_are_known(&mut w);
+        came = (came.0 + w.came_pushed.0, came.1 + w.came_pushed.1);
+    }
+    assert!(came.0 > 10 && came.1 > 50, "{came:?} came late, carried out and refused");
+}
+
 /// Half of all reports come again, up to three leases later, while blocks move, machines
 /// are back at once with their counters begun anew, and jobs are withdrawn.
 ///
--- a/tests/meetings/withdrawals.rs
+++ b/tests/meetings/withdrawals.rs
@@ -3,6 +3,7 @@
 //! limits of writes.
 
 use super::{all_over, withdraw};
+use crate::recovery::seeds;
 use crate::running;
 use crate::world::{CANCEL_S, CloseLooks, Job, LEASE_S, SMALL, Size, World, array, gang, s, service};
 use rand::RngExt;
@@ -17,7 +18,7 @@
 /// What keeps a machine from being told, and for how long.
 fn out_of_reach(w: &mut World, name: &str, way: u64, for_s: f64) {
     let (now, name) = (w.now.as_secs_f64(), name.to_string());
-    match way % 3 {
+    match way % 4 {
         0 => {
             w.cut_worker(&name, true);
             w.later(now + for_s, move |w| w.cut_worker(&name, false));
@@ -26,10 +27,14 @@
             w.hang(&name, true);
             w.later(now + for_s, move |w| w.hang(&name, false));
         }
-        _ => {
+        2 => {
             w.workers.get_mut(&name).unwrap().deaf = true;
             w.later(now + for_s, move |w| w.workers.get_mut(&name).into_iter().for_each(|x| x.deaf = false));
         }
+        _ => {
+            w.workers.get_mut(&name).unwrap().mute = true;
+            w.later(now + for_s, move |w| w.workers.get_mut(&name).into_iter().for_each(|x| x.mute = false));
+        }
     }
 }
 
@@ -56,7 +61,7 @@
         let for_s = [3.0, LEASE_S * 0.8, LEASE_S * 1.7][seed as usize % 3];
         for uid in ["run-109", "run-119"] {
             for name in machines_of(&w, uid) {
-                out_of_reach(&mut w, &name, seed, for_s);
+                out_of_reach(&mut w, &name, seed % 3, for_s);
             }
             withdraw(&mut w, uid, None);
         }
@@ -71,6 +76,53 @@
     }
 }
 
+/// Every team is at its limit, with as much waiting as runs; jobs of each are withdrawn
+/// whose machines can't be asked (cut off, hanging, deaf or mute), and leaders end before,
+/// in and after that spell. No team ever has more than its limit (the world looks at every
+/// step), and all of it again once what was withdrawn is proved gone.
+#[test]
+fn every_team_is_at_its_limit_as_leaders_change() {
+    const MAX: f64 = 36.0;
+    let mut left = 0;
+    for seed in 0..seeds(6) {
+        let controllers = [3, 7][seed as usize % 2];
+        let size = Size { controllers, machines: 16, free_max: MAX, team_max: MAX, write_rps: 60.0, ..SMALL };
+        let mut w = World::sized(9990 + seed, size);
+        w.cloud.most = 20;
+        let teams = ["free", "capped"];
+        let of = |team: &str, job: Job| Job { team: team.into(), ..job };
+        for (t, team) in teams.into_iter().enumerate() {
+            for n in 0..12 {
+                w.submit(&format!("run-{t}{n:02}9"), of(team, array(3, 1e6)));
+            }
+        }
+        w.run_until(16.0);
+        let full = |w: &World| teams.map(|team| w.used().get(team).copied().unwrap_or(0.0)) == [MAX, MAX];
+        assert!(full(&w), "seed {seed}: {:?}", w.used());
+        let for_s = [4.0, LEASE_S * 0.8, LEASE_S * 1.6][seed as usize % 3];
+        w.restart_between = Some(if seed % 2 == 0 { (0.02, 0.9) } else { (4.0, 30.0) });
+        for n in 0..3 {
+            let at = [15.9, 17.0, 16.0 + for_s][n] + w.rng.random_range(0.0..0.3);
+            w.later(at, |w| w.crash_leader());
+        }
+        let runs: Vec<String> = w.jobs.keys().filter(|uid| running(&w, uid) > 0).cloned().collect();
+        for (n, uid) in runs.iter().enumerate().filter(|(n, _)| n % 3 == 0) {
+            for name in machines_of(&w, uid) {
+                out_of_reach(&mut w, &name, seed + n as u64 / 3, for_s);
+            }
+            let (uid, at) = (uid.clone(), 16.0 + w.rng.random_range(0.2..3.0));
+            w.later(at, move |w| w.call_off(&uid));
+            left += 1;
+        }
+        w.run_until(16.0 + for_s + CANCEL_S * 1.5);
+        for (uid, j) in w.jobs.iter().filter(|(_, j)| j.withdraw_asked) {
+            assert!(j.withdrawn_at.is_some() && running(&w, uid) == 0, "seed {seed}: {uid} is still there");
+        }
+        assert!(full(&w), "seed {seed}: room has not come back: {:?}", w.used());
+    }
+    assert!(left > 15, "{left} were withdrawn");
+}
+
 /// Some work of each kind, here and waiting, of which a third leaves in the seconds after
 /// 20 s.
 fn work(w: &mut World) -> Vec<String> {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -173,6 +173,8 @@
     /// Such a part of direct commands is held up for so many seconds, and then carried
     /// out; their answers are lost.
     pub late_pushes: Option<(f64, (f64, f64))>,
+    /// Of those that came late, the ones that were carried out and that were refused.
+    pub came_pushed: (u32, u32),
     /// Such a part of transactions is carried out at once, and its answer comes so many
     /// seconds late; after the controller's time-out, not at all.
     pub late_answers: Option<(f64, (f64, f64))>,
@@ -246,8 +248,8 @@
     }
     t += "[outside]\ncloud = \"10.2.0.2:8443\"\nstate = \"10.2.0.1:2379\"\n[settings]\nzones = [\"a\", \"b\"]\n";
     t += &format!(
-        "[[settings.teams]]\nname = \"free\"\n[[settings.teams]]\nname = \"capped\"\ncpus_max = {:.1}\n",
-        size.team_max
+        "[[settings.teams]]\nname = \"free\"\ncpus_max = {:.1}\n[[settings.teams]]\nname = \"capped\"\ncpus_max = {:.1}\n",
+        size.free_max, size.team_max
     );
     t += "[[settings.objectives]]\nkind = \"wait\"\nclass = \"web\"\nwithin_s = 6.0\nshare = 0.9\n";
     t += "[[settings.objectives]]\nkind = \"finished\"\nclass = \"report\"\nwithin_s = 40.0\nshare = 0.9\n";
@@ -270,6 +272,7 @@
     write_rps: 80.0,
     txn_ops: 32,
     value_kb: 8.0,
+    free_max: 0.0,
     team_max: 8.0,
     zones: &["a"],
     fetch_s: 0.5,
@@ -283,6 +286,8 @@
     pub write_rps: f64,
     pub txn_ops: usize,
     pub value_kb: f64,
+    /// CPUs that the team `free` may use; 0 is no limit.
+    pub free_max: f64,
     /// CPUs that the team `capped` may use.
     pub team_max: f64,
     pub zones: &'static [&'static str],
@@ -321,6 +326,7 @@
             copies: None,
             late_writes: None,
             late_pushes: None,
+            came_pushed: (0, 0),
             late_answers: None,
             slow_watches: None,
             slow_links: None,
@@ -515,7 +521,8 @@
                 if w.hangs.is_some() {
                     return w.held.push(body);
                 }
-                let (_, _, started) = w.pushed(&body, now);
+                let (status, _, started) = w.pushed(&body, now);
+                *(if status == 200 { &mut self.came_pushed.0 } else { &mut self.came_pushed.1 }) += 1;
                 self.starting(&name, started);
             }
             Ev::Reply(conn, status, body) => {
@@ -796,16 +803,12 @@
 
     /// Checks that hold at any moment.
     fn check(&self) {
-        let mut used = 0.0;
         for (name, w) in &self.workers {
             let (mut cores, mut gpus) = (0.0, 0.0);
             for t in w.tasks.values().filter(|t| t.state != TaskState::Exited) {
                 let j = &self.jobs[&t.job];
                 cores += j.cores;
                 gpus += j.gpus;
-                if j.team == "capped" {
-                    used += j.cores;
-                }
                 if let Some(at) = j.withdrawn_at {
                     let late = self.now > at + s(CANCEL_S);
                     assert!(!late, "seed {}: {}/{} runs long after its withdrawal", self.seed, t.job, t.index);
@@ -813,8 +816,26 @@
             }
             assert!(cores <= 8.0 && gpus <= 4.0, "seed {}: {name} is overfull", self.seed);
         }
-        let max = self.size.team_max;
-        assert!(used <= max + 1e-9, "seed {}: the team uses {used} of {max}", self.seed);
+        for (team, used) in self.used() {
+            let max = self.limit(team);
+            assert!(used <= max + 1e-9, "seed {}: the team uses {used} of {max}", self.seed);
+        }
+    }
+
+    /// CPUs that the team's tasks may use.
+    pub(super) fn limit(&self, team: &str) -> f64 {
+        let max = if team == "capped" { self.size.team_max } else { self.size.free_max };
+        if max > 0.0 { max } else { f64::INFINITY }
+    }
+
+    /// CPUs that each team's tasks use.
+    pub fn used(&self) -> BTreeMap<&str, f64> {
+        let mut used = BTreeMap::new();
+        for t in self.workers.values().flat_map(|w| w.tasks.values()).filter(|t| t.state != TaskState::Exited) {
+            let j = &self.jobs[&t.job];
+            *used.entry(j.team.as_str()).or_default() += j.cores;
+        }
+        used
     }
 
     fn carry_out(&mut self, i: usize, life: u64, action: Action) {
--- a/tests/world/room.rs
+++ b/tests/world/room.rs
@@ -33,10 +33,9 @@
         };
         let free: Vec<(String, f64, f64)> = self.workers.values().filter(well).map(used).collect();
         let mut on: BTreeSet<(&str, u32)> = BTreeSet::new();
-        let mut capped = 0.0;
+        let used_by = self.used();
         for t in self.workers.values().flat_map(|w| w.tasks.values()).filter(|t| t.state != TaskState::Exited) {
             on.insert((t.job.as_str(), t.index));
-            capped += if self.jobs[&t.job].team == "capped" { self.jobs[&t.job].cores } else { 0.0 };
         }
         let mut waits = BTreeSet::new();
         for (uid, j) in self.jobs.iter().filter(|(_, j)| j.accepted && !j.withdraw_asked && !j.gang && !j.apart) {
@@ -44,7 +43,8 @@
             let waiting = (there.count() + j.done.len()) < j.tasks as usize;
             let there = |site: &str| j.site.is_none_or(|only| only == site);
             let fits = free.iter().any(|(z, c, g)| there(z) && c + j.cores <= CORES && g + j.gpus <= GPUS);
-            let allowed = j.team != "capped" || capped + j.cores <= self.size.team_max;
+            let team = used_by.get(j.team.as_str()).copied().unwrap_or(0.0);
+            let allowed = team + j.cores <= self.limit(&j.team);
             if waiting && fits && allowed {
                 waits.insert(uid.clone());
             }
