Withdrawn: all owners tell their machines at once, and only those where the job is

Who wrote a withdrawal pushed to every machine of its block, each with all that is wanted there worked out anew; the other owners told theirs with the next report, up to a report interval later, while users have no more use of what runs.

The view says which jobs were let go, by whatever it learned of them; every owner pushes to the machines on which the job has places (Controller::stop).

--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -274,6 +274,8 @@
     pub logs: BTreeMap<String, Log>,
     /// Jobs whose last task was done or gone, to be ended.
     pub complete: Vec<String>,
+    /// Jobs that were withdrawn since this was last taken: their tasks shall end.
+    pub let_go: Vec<String>,
     /// While the state is loaded: segments read, up to a revision.
     pending: Option<(u64, Vec<Pending>)>,
     /// Chunks whose job record has not been seen yet.
@@ -490,7 +492,11 @@
         };
         if let Some(job) = self.jobs.get_mut(uid) {
             if version > job.rec.version {
+                let was = job.withdrawn();
                 job.rec = Versioned { rec, version };
+                if job.withdrawn() && !was {
+                    self.let_go.push(uid.to_string());
+                }
                 self.note_complete(uid);
             }
             return;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -756,6 +756,9 @@
                 self.note_end(&spec, at_ms);
             }
         }
+        for uid in std::mem::take(&mut self.view.let_go) {
+            self.stop(&uid);
+        }
         self.retry_held();
         self.answer_requests(RequestEvent::View(self.view.revision));
     }
--- a/src/controller/perches.rs
+++ b/src/controller/perches.rs
@@ -337,6 +337,17 @@
         }
     }
 
+    /// Tells the machines of ours on which the job has tasks to end them, whoever wrote
+    /// that it is withdrawn: by their own reports they would run on for a while.
+    pub(super) fn stop(&mut self, uid: &str) {
+        let places = self.view.jobs.get(uid).into_iter().flat_map(|j| j.chunks.values().flat_map(|c| &c.rec.on));
+        let ours = places.map(|p| &p.machine).filter(|m| self.machines.contains_key(*m));
+        let ours: BTreeSet<String> = ours.cloned().collect();
+        for m in ours {
+            self.push(&m);
+        }
+    }
+
     pub(super) fn push_answer(&mut self, id: CallId, name: &str, grant: u64, result: Result<Reply, NoAnswer>) {
         let Some(m) = self.machines.get_mut(name) else { return };
         if m.push != Some(id) || m.epoch != grant {
--- a/src/controller/requests.rs
+++ b/src/controller/requests.rs
@@ -195,12 +195,8 @@
         let view = &self.view;
         let told = self.asked.written(uid, asked, how, |uid| known(view, uid));
         self.answer_with(told);
-        if asked == Asked::Withdrawn {
-            let machines: Vec<String> = self.machines.keys().cloned().collect();
-            for m in machines {
-                self.push(&m);
-            }
-        } else if let Some(j) = self.view.jobs.get(uid).filter(|_| how == Written::Done) {
+        let accepted = asked == Asked::Submitted && how == Written::Done;
+        if let Some(j) = self.view.jobs.get(uid).filter(|_| accepted) {
             let to: Vec<&str> = j.rec.rec.shares.iter().map(|s| s.member.as_str()).collect();
             tracing::debug!(job = %uid, class = %j.spec.docket, tasks = j.spec.parcels, ?to, "accepted");
         }
--- a/tests/meetings/withdrawals.rs
+++ b/tests/meetings/withdrawals.rs
@@ -5,7 +5,7 @@
 use super::{all_over, withdraw};
 use crate::recovery::seeds;
 use crate::running;
-use crate::world::{CANCEL_S, CloseLooks, Job, LEASE_S, SMALL, Size, World, array, gang, s, service};
+use crate::world::{CANCEL_S, CloseLooks, Job, LEASE_S, REPORT_S, SMALL, Size, World, array, gang, s, service};
 use rand::RngExt;
 use std::collections::BTreeSet;
 
@@ -38,6 +38,29 @@
     }
 }
 
+/// Whoever confirms a withdrawal, all owners of machines where the job runs tell them to
+/// end it as soon as their watches show it, not with the next report.
+#[test]
+fn a_withdrawal_ends_tasks_on_the_machines_of_all_owners() {
+    let mut w = World::sized(9945, Size { machines: 18, ..SMALL });
+    w.cloud.most = 18;
+    w.run_until(10.0);
+    for n in 0..6 {
+        let uid = format!("run-{n}09");
+        w.submit(&uid, array(60, 1e6));
+        let now = w.now.as_secs_f64();
+        w.run_until(now + 10.0);
+        let on = machines_of(&w, &uid);
+        let owners: BTreeSet<Option<usize>> = on.iter().map(|m| w.store.owner(m)).collect();
+        assert!(owners.len() > 1, "{uid} runs on machines of {owners:?}");
+        w.call_off(&uid);
+        let now = w.now.as_secs_f64();
+        w.run_until(now + REPORT_S / 10.0);
+        assert!(w.jobs[&uid].withdrawn_at.is_some());
+        assert_eq!(running(&w, &uid), 0, "{uid} runs on");
+    }
+}
+
 /// The team has taken all of its limit; jobs of it are withdrawn whose machines are cut
 /// off, hang or hear nothing, and the leader ends. Their places count until they are
 /// proved gone (the world looks at the limit at every step), and then others have them.
