--- a/tests/meetings/answers.rs
+++ b/tests/meetings/answers.rs
@@ -30,6 +30,7 @@
         let mut w = fleet(9900 + seed, nodes, 12);
         w.close_looks = Some(CloseLooks { withdraw: 0.3 });
         w.late_answers = Some((0.25, (0.05, 1.4)));
+        w.slow_watches = Some((0.3, (0.05, 0.8)));
         w.restart_between = Some((0.01, 0.5));
         work(&mut w, 30);
         for n in 0..8 {
@@ -46,7 +47,7 @@
             });
         }
         w.run_until(50.0);
-        (w.late_answers, w.close_looks) = (None, None);
+        (w.late_answers, w.slow_watches, w.close_looks) = (None, None, None);
         w.run_until(70.0);
         all_over(&w);
         all_are_known(&mut w);
--- a/tests/meetings/withdrawals.rs
+++ b/tests/meetings/withdrawals.rs
@@ -198,7 +198,10 @@
                 w.crash(node);
             }
         }
-        // Watches lag a little, and some who come leave as soon as they are accepted.
+        // What watches show comes late, half a second and more apart on each node.
+        w.slow_watches = Some((0.5, (0.05, 0.9))).filter(|_| seed % 2 == 1);
+        w.later(32.0, |w| w.slow_watches = None);
+        // They stand still a little, and some who come leave as soon as they are accepted.
         for k in 0..15 {
             let at = 20.0 + 0.8 * f64::from(k);
             w.later(at, |w| w.store.mute.extend(0..3));
