--- a/review/standin/src/user.rs
+++ b/review/standin/src/user.rs
@@ -5,6 +5,9 @@
 use crate::world::World;
 use std::time::{Duration, Instant};
 
+/// The path of jobs.
+const JOBS: &str = "/work";
+
 /// A job, with the fields that a case does not set at plain values.
 pub fn job(uid: &str, fields: &[(&str, Value)]) -> Value {
     let mut job = crate::map! {
@@ -55,7 +58,7 @@
 pub fn submit(world: &World, job: &Value) -> u16 {
     let uid = job.get("uid").text().to_string();
     world.jobs.lock().unwrap().insert(uid.clone(), job.clone());
-    let answer = insist(world, "POST", "/work", Some(job), 5.0, 60.0, &[200, 201, 400, 422]);
+    let answer = insist(world, "POST", JOBS, Some(job), 5.0, 60.0, &[200, 201, 400, 422]);
     let status = answer.map_or(0, |answer| answer.0);
     world.note(format!("user submitted {uid}: {status}"));
     status
@@ -63,7 +66,7 @@
 
 /// The status of a job as one poll of the controllers shows it; `None` if none answered.
 pub fn poll(world: &World, uid: &str) -> Option<String> {
-    let answer = insist(world, "GET", &format!("/work/{uid}"), None, 2.0, 0.0, &[200, 404])?;
+    let answer = insist(world, "GET", &format!("{JOBS}/{uid}"), None, 2.0, 0.0, &[200, 404])?;
     Some(if answer.0 == 404 { "404".into() } else { answer.1.get("status").text().to_string() })
 }
 
