A late answer to a heartbeat no longer starts a task that has moved

Cause: a task counts as absent if a report with the token in force does not list it and no push is in flight. The answer to a heartbeat may still be on its way then. The answer to a push, sent before the agent received that answer, or an older heartbeat compared again when such an answer came, was taken as proof that a task was gone which the late answer then started. Related: the exit of a gang's task that stopped waiting counted as final although the late answer commanded to forget it and to run the same attempt again.

Change: the state of a machine keeps the attempts that answers command to run until a heartbeat that the agent sent by itself settles these answers. The proof of absence is one method, which the completion of wide gangs uses too.

Why it works: the agent keeps one heartbeat in flight and drops an answer after 4 s, so its next heartbeat proves that the answer arrived or never will.

--- a/src/controller/agents/heartbeats.rs
+++ b/src/controller/agents/heartbeats.rs
@@ -186,7 +186,8 @@
             &self.state,
             &self.config,
         );
-        let response = HeartbeatResponse { fencing_token: machine.record_answer(self.now), commands: commands.into() };
+        let fencing_token = machine.record_answer(&commands, self.now);
+        let response = HeartbeatResponse { fencing_token, commands: commands.into() };
         self.respond(conn, 200, encode(&response));
     }
 
--- a/src/controller/agents/reconciliation.rs
+++ b/src/controller/agents/reconciliation.rs
@@ -50,9 +50,7 @@
         }
         self.machine.tasks = observed_tasks;
         self.prune_unrecorded_attempts();
-        if self.machine.confirmed() {
-            self.record_missing_attempts();
-        }
+        self.record_missing_attempts();
         if self.tasks_failed {
             self.evaluate_failures();
         }
@@ -90,8 +88,7 @@
                 self.record_finished(observed, job);
                 job.cancelled() && recorded == RecordedState::Ending
             }
-            // A delayed copy may show the exit of an attempt that was commanded to run again since.
-            Difference::Failed => self.machine.report_proven,
+            Difference::Failed => self.machine.has_finally_exited(observed),
             _ => false,
         };
         if is_gone {
@@ -147,14 +144,14 @@
         self.machine.proven_ended.retain(is_kept);
     }
 
-    /// Records that attempts are gone which shall not run here and are not in the heartbeat: that
-    /// lists all tasks on the machine.
+    /// Records that attempts are gone which shall not run here and are proved to be absent.
     fn record_missing_attempts(&mut self) {
         for ((uid, index), attempt) in &self.tasks.kept {
             let is_wanted = self.tasks.wanted.contains_key(&(uid.clone(), *index));
-            if !is_wanted && self.machine.find(uid, *index, *attempt).is_none() {
+            let key = (uid.clone(), *index, *attempt);
+            if !is_wanted && self.machine.is_absent(&key) {
                 self.journal.record_gone(uid, *index, *attempt, self.now);
-                self.machine.proven_ended.insert((uid.clone(), *index, *attempt));
+                self.machine.proven_ended.insert(key);
                 self.capacity_freed = true;
             }
         }
--- a/src/controller/scheduler/gangs.rs
+++ b/src/controller/scheduler/gangs.rs
@@ -40,9 +40,8 @@
         let uid = &job.spec.uid;
         let waits_for_others =
             |machine: &Machine, place: &Placement| machine.is_waiting_for_gang(uid, place.index, place.attempt);
-        let was_not_ordered = |machine: &Machine, place: &Placement| {
-            machine.confirmed() && machine.find(uid, place.index, place.attempt).is_none()
-        };
+        let was_not_ordered =
+            |machine: &Machine, place: &Placement| machine.is_absent(&(uid.clone(), place.index, place.attempt));
         let may_be_completed =
             || is_wide_gang(&job.spec, round.settings) && !self.gang_placement_expired(job, round.settings, round.now);
         job.done == 0
--- a/src/coordination/machine.rs
+++ b/src/coordination/machine.rs
@@ -112,6 +112,9 @@
     pushed_at: Option<Instant>,
     /// The commands pushed to the present incarnation. They are not pushed again.
     pushed: BTreeSet<PushedCommand>,
+    /// The attempts that answers to the agent's heartbeats command to run, as long as one of
+    /// these answers may still reach the agent.
+    ordered_by_answers: BTreeSet<AttemptKey>,
     /// The failures of tasks on this machine.
     pub failures: MachineFailures,
     /// The machine is cordoned until this time: no task is placed on it.
@@ -164,6 +167,7 @@
             push_in_flight: None,
             pushed_at: None,
             pushed: BTreeSet::new(),
+            ordered_by_answers: BTreeSet::new(),
             failures: MachineFailures::default(),
             cordoned_until: Duration::ZERO,
             images: Images::default(),
@@ -188,11 +192,28 @@
     }
 
     /// Whether the agent accepts commands from no other controller, and no push of this one is
-    /// pending that could still be carried out. Its newest report is then complete.
+    /// pending that could still be carried out. The answer to a heartbeat may still be on its
+    /// way: see [`is_absent`](Self::is_absent) and [`has_finally_exited`](Self::has_finally_exited).
     pub fn confirmed(&self) -> bool {
         self.fencing_token == self.token() && self.push_in_flight.is_none()
     }
 
+    /// Whether the attempt is not on the machine, and no message that was sent can still start it
+    /// there.
+    pub fn is_absent(&self, key: &AttemptKey) -> bool {
+        let (job, index, attempt) = key;
+        self.confirmed() && !self.ordered_by_answers.contains(key) && self.find(job, *index, *attempt).is_none()
+    }
+
+    /// Whether the attempt, which the newest report shows as exited, can no longer run here. A
+    /// gang's task that stopped waiting may have been commanded to run again by an answer that
+    /// the agent had not received when it sent the report.
+    pub fn has_finally_exited(&self, observed: &ObservedTask) -> bool {
+        let may_restart =
+            observed.cause == Some(Cause::GangIncomplete) && self.ordered_by_answers.contains(&observed.key());
+        self.report_proven && !may_restart
+    }
+
     /// Applies a report if it is newer than all reports so far. Returns whether it was applied.
     pub fn apply_report(&mut self, report: &Heartbeat) -> bool {
         let counters = (report.agent_epoch, report.heartbeat_seq);
--- a/src/coordination/machine/liveness.rs
+++ b/src/coordination/machine/liveness.rs
@@ -3,8 +3,9 @@
 
 #![warn(missing_docs)]
 
-use super::Machine;
+use super::{AttemptKey, Machine};
 use crate::effects::Instant;
+use crate::protocol::worker::{Command, TaskId};
 use std::time::Duration;
 
 /// Answers count as lost once this many in a row did not reach the agent. A single one may be
@@ -26,6 +27,10 @@
     /// reason to wait (`must_await_lease_expiry`).
     pub fn observe_report(&mut self, is_newest: bool, now: Instant) {
         self.set_report_proven(self.confirmed() || is_newest && self.token_confirmed);
+        if self.report_proven {
+            // Every earlier answer has either arrived or been dropped.
+            self.ordered_by_answers.clear();
+        }
         if self.answered_token <= self.fencing_token {
             self.missed_answers = 0;
             self.answer_confirmed_at = Some(now);
@@ -61,8 +66,10 @@
         fencing_token < self.proven_token
     }
 
-    /// Records that a report of the agent is answered. Returns the token for the answer.
-    pub fn record_answer(&mut self, now: Instant) -> u64 {
+    /// Records that a report of the agent is answered with these commands. Returns the token for
+    /// the answer.
+    pub fn record_answer(&mut self, commands: &[Command], now: Instant) -> u64 {
+        self.ordered_by_answers.extend(commands.iter().filter_map(started_attempt));
         let token = self.token();
         if self.answered_token != token {
             self.answered_token = token;
@@ -117,3 +124,10 @@
             && !self.lease_expired(now, lease, cancel)
     }
 }
+
+/// The attempt that the command starts, if it starts one.
+fn started_attempt(command: &Command) -> Option<AttemptKey> {
+    let Command::Run { task, attempt } = command else { return None };
+    let id = TaskId::parse(task)?;
+    Some((id.job, id.index, *attempt))
+}
--- a/src/coordination/machine/tests.rs
+++ b/src/coordination/machine/tests.rs
@@ -142,10 +142,10 @@
         m.observe_report(true, now);
     };
     observe(&mut m, (1, 8), old, s(10));
-    assert!(m.report_proven && m.record_answer(s(10)) == old);
+    assert!(m.report_proven && m.record_answer(&[], s(10)) == old);
     m.restart_incarnation(&report((1, 2), 0, &[]));
     assert!(m.token() > old && !m.contradicts_token(0));
-    m.record_answer(s(20));
+    m.record_answer(&[], s(20));
     observe(&mut m, (1, 7), old, s(21));
     assert!(!m.report_proven, "the copy does not prove the exit that it shows");
     assert_eq!(m.answered_at, Some(s(20)), "the answer may have arrived");
@@ -175,7 +175,7 @@
     for n in 0..15 {
         observe(&mut unreachable, 1 + n, 3, s(2 * n));
         assert!(!unreachable.must_await_lease_expiry(s(2 * n), lease, cancel), "an earlier owner may still answer it");
-        unreachable.record_answer(s(2 * n));
+        unreachable.record_answer(&[], s(2 * n));
     }
     observe(&mut unreachable, 30, 3, s(31));
     assert!(unreachable.answers_are_lost() && !unreachable.report_proven && unreachable.answered_at == Some(s(28)));
@@ -193,10 +193,10 @@
     assert!(unreachable.report_proven && !unreachable.must_await_lease_expiry(s(33), lease, cancel));
     // From then on a report without the newest token is proved to be the agent's own, and shows
     // that an answer was lost.
-    unreachable.record_answer(s(33));
+    unreachable.record_answer(&[], s(33));
     unreachable.record_lost_push();
     observe(&mut unreachable, 32, token, s(35));
-    unreachable.record_answer(s(35));
+    unreachable.record_answer(&[], s(35));
     observe(&mut unreachable, 33, token, s(37));
     assert!(unreachable.report_proven && unreachable.answered_at == Some(s(33)));
 }
@@ -214,7 +214,7 @@
         assert!(m.apply_report(&report((1, heartbeat_seq), 0, &[])));
         m.observe_report(heartbeat_seq > 1, s(at));
         if heartbeat_seq == 1 {
-            m.record_answer(s(at));
+            m.record_answer(&[], s(at));
         }
     }
     assert_eq!(m.answered_at, Some(s(47)), "the answer may have arrived");
@@ -233,16 +233,16 @@
     let mut m = Machine::new(1, 1, 1, s(0));
     m.apply_report(&report((1, 3), 0, &[]));
     m.observe_report(false, s(1));
-    let old = m.record_answer(s(1));
+    let old = m.record_answer(&[], s(1));
     // A report of the new incarnation, newer than all reports known.
     m.apply_report(&report((1, 5), 0, &[]));
     m.observe_report(true, s(3));
-    m.record_answer(s(3));
+    m.record_answer(&[], s(3));
     m.apply_report(&report((1, 6), old, &[("run-1/0", 1, TaskState::Exited)]));
     m.observe_report(true, s(4));
     assert!(!m.confirmed() && !m.report_proven && m.answered_at == Some(s(3)));
     // The next report of the new incarnation shows the token that only it was given.
-    let token = m.record_answer(s(5));
+    let token = m.record_answer(&[], s(5));
     m.apply_report(&report((1, 7), token, &[("run-1/0", 1, TaskState::Running)]));
     m.observe_report(true, s(6));
     assert!(m.confirmed() && m.report_proven);
@@ -257,9 +257,59 @@
     let s = Duration::from_secs;
     let (lease, cancel) = (s(18), s(48));
     let mut m = Machine::new(1, 1, 1, s(0));
-    m.record_answer(s(100));
+    m.record_answer(&[], s(100));
     assert!(!m.lease_expired(s(118), lease, cancel) && m.lease_expired(s(119), lease, cancel));
     m.record_push(7, s(130));
     m.push_in_flight = None;
     assert!(!m.lease_expired(s(148), lease, cancel) && m.lease_expired(s(149), lease, cancel));
 }
+
+/// A task was commanded to run in the answer to a heartbeat, and a report that the agent sent
+/// before it received that answer, as the answer to a push, counted as proof that the task was
+/// not there. It was started on another machine, and then here by the late answer.
+#[test]
+fn a_task_that_a_late_answer_may_start_is_not_absent() {
+    let s = Duration::from_secs;
+    let mut m = Machine::new(1, 1, 1, s(0));
+    let (token, key) = (m.token(), ("run-1".to_string(), 0, 1));
+    let observe = |m: &mut Machine, heartbeat_seq, tasks: &[(&str, u64, TaskState)]| {
+        assert!(m.apply_report(&report((1, heartbeat_seq), token, tasks)));
+        m.observe_report(true, s(heartbeat_seq));
+    };
+    observe(&mut m, 1, &[]);
+    assert!(m.is_absent(&key));
+    m.record_answer(&m.commands(&places(&[("run-1", 0, 1)]), &places(&[])), s(1));
+    assert!(!m.is_absent(&key), "the heartbeat is older than the answer to it");
+    m.apply_report(&report((1, 2), token, &[]));
+    m.set_report_proven(true);
+    assert!(m.confirmed() && !m.is_absent(&key), "the answer to a push may be older than the answer to the heartbeat");
+    assert!(m.is_absent(&("run-2".to_string(), 0, 1)), "nothing has commanded this task to run");
+    // The agent has one heartbeat in flight, so the answer has arrived or was dropped.
+    observe(&mut m, 3, &[]);
+    assert!(m.is_absent(&key));
+}
+
+/// A gang's task that stopped waiting was commanded to run again in the answer to a heartbeat.
+/// The answer to a push that the agent sent before it received that command showed the earlier
+/// exit, which counted as final when the gang was not being started any more. The task was started
+/// on another machine, and then here by the late answer.
+#[test]
+fn an_exit_that_a_late_answer_may_undo_is_not_final() {
+    let mut m = Machine::new(1, 1, 1, Duration::ZERO);
+    let mut exited = report((1, 1), m.token(), &[("run-1/0", 2, TaskState::Exited), ("run-2/0", 1, TaskState::Exited)]);
+    (exited.tasks[0].cause, exited.tasks[1].cause) = (Some(Cause::GangIncomplete), Some(Cause::Error));
+    m.apply_report(&exited);
+    m.observe_report(true, Duration::ZERO);
+    let are_final = |m: &Machine| m.tasks.iter().map(|task| m.has_finally_exited(task)).collect::<Vec<bool>>();
+    assert_eq!(are_final(&m), [true, true]);
+    let here = places(&[("run-1", 0, 2), ("run-2", 0, 1)]);
+    m.record_answer(&m.commands(&here, &here), Duration::ZERO);
+    exited.heartbeat_seq = 2;
+    m.apply_report(&exited);
+    m.set_report_proven(true);
+    assert_eq!(are_final(&m), [false, true]);
+    exited.heartbeat_seq = 3;
+    m.apply_report(&exited);
+    m.observe_report(true, Duration::ZERO);
+    assert_eq!(are_final(&m), [true, true]);
+}
--- a/tests/meetings/late.rs
+++ b/tests/meetings/late.rs
@@ -5,7 +5,7 @@
 use crate::known::assert_all_jobs_known;
 use crate::reconciliation::seed_count;
 use crate::world::helpers::running;
-use crate::world::{LEASE_S, REPORT_S, World, array, gang, service};
+use crate::world::{Job, LEASE_S, REPORT_S, World, array, gang, s, service};
 use rand::RngExt;
 
 /// Submits jobs of all kinds over a minute, some of which are cancelled. Machines are rented and
@@ -173,3 +173,42 @@
         assert_all_jobs_known(&mut w);
     }
 }
+
+/// Links to the machines are slow for a minute: answers to heartbeats arrive up to 4 s late, and
+/// answers to direct commands up to 2 s late, while tasks are preempted by urgent ones, cancelled, or moved
+/// from machines on preemption notice right after they were placed.
+///
+/// A task that was commanded to run in the answer to a heartbeat was taken for absent when the
+/// answer to a direct command, which the machine had sent before, did not list it. It was started
+/// on another machine, and then on the first one by the late answer.
+#[test]
+fn late_answers_to_heartbeats_start_no_task_that_moved() {
+    for seed in 0..seed_count(3) {
+        let mut w = fleet(9300 + seed, [3, 7][seed as usize % 2], 8);
+        w.cloud.most = 14;
+        w.run_until(12.0);
+        w.faults.late_heartbeat_answers = Some((0.6, (0.5, 3.9)));
+        w.faults.late_command_answers = Some((0.6, (0.3, 1.9)));
+        for n in 0..40 {
+            let at = 12.0 + 1.5 * f64::from(n) + w.rng.random_range(0.0..1.0);
+            let (uid, urgent, moved) = (format!("run-{n:02}4"), format!("run-{n:02}9"), format!("run-5{n:02}2"));
+            w.later(at, move |w| w.submit(&uid, Job { idle: true, ..array(6, 20.0) }));
+            let after = w.rng.random_range(0.0..3.0);
+            w.later(at + after, move |w| w.submit(&urgent, service(3)));
+            let (cancelled, ends) = (format!("run-{n:02}9"), at + w.rng.random_range(3.0..12.0));
+            w.later(ends, move |w| cancel(w, &cancelled, None));
+            let which = w.rng.random_range(0..8);
+            w.later(at + 0.5, move |w| {
+                w.submit(&moved, if n % 2 == 0 { gang(2) } else { array(2, 6.0) });
+                if n % 4 == 3 {
+                    let at = w.now + s(10.0);
+                    w.workers.values_mut().nth(which).into_iter().for_each(|x| x.preempted_at = Some(at));
+                }
+            });
+        }
+        w.later(75.0, |w| (w.faults.late_heartbeat_answers, w.faults.late_command_answers) = (None, None));
+        w.run_until(260.0);
+        all_over(&w);
+        assert_all_jobs_known(&mut w);
+    }
+}
--- a/tests/world/faults.rs
+++ b/tests/world/faults.rs
@@ -30,6 +30,11 @@
     pub late_transactions: Option<Delay>,
     /// Delay of pushed commands, which are then executed although their answers are lost.
     pub late_commands: Option<Delay>,
+    /// Delay of answers to pushed commands that are executed at once. An answer that would come
+    /// after the controller's time-out never comes.
+    pub late_command_answers: Option<Delay>,
+    /// Delay of answers to agents' heartbeats. An agent drops those that come after 4 s.
+    pub late_heartbeat_answers: Option<Delay>,
     /// Delay of answers to transactions that are applied at once. An answer that would come after
     /// the controller's time-out never comes.
     pub late_answers: Option<Delay>,
@@ -65,6 +70,8 @@
             duplicated_heartbeats: None,
             late_transactions: None,
             late_commands: None,
+            late_command_answers: None,
+            late_heartbeat_answers: None,
             late_answers: None,
             late_watches: None,
             slow_links: None,
--- a/tests/world/network.rs
+++ b/tests/world/network.rs
@@ -125,6 +125,12 @@
                         let worker = self.workers.get_mut(&name).unwrap();
                         let (status, report, started) = worker.receive_commands(&body, now);
                         self.check_starts(&name, started);
+                        if let Some(after) = self.draw_delay(self.faults.late_command_answers) {
+                            let given_up = after > timeout.as_secs_f64();
+                            let reply = Reply { status, body: report };
+                            let event = WorldEvent::Answer(node, id, if given_up { Err(NoAnswer) } else { Ok(reply) });
+                            return self.schedule_after(after.min(timeout.as_secs_f64()), event);
+                        }
                         Some((status, report))
                     }
                     Some(name) if !self.nodes[node].deaf && path != "/show" => {
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -120,13 +120,14 @@
         for action in actions {
             match action {
                 Action::Respond { conn, status, body, .. } => {
-                    let lag = self.draw_latency();
+                    let mut lag = self.draw_latency();
                     let unreachable = |p: &Pending| matches!(&p.source, Source::Worker(name, _) if !self.node_reaches_machine(name, p.node));
                     let lost = self.pending.get(&conn).is_some_and(unreachable);
                     let from_worker = |p: &Pending| matches!(p.source, Source::Worker(..));
                     if self.pending.get(&conn).is_some_and(from_worker) {
                         self.nodes[node].served += u32::from(status == 200);
                         self.check_commands(&body);
+                        lag += self.draw_delay(self.faults.late_heartbeat_answers).unwrap_or_default();
                     }
                     if !lost {
                         self.schedule_after(lag, WorldEvent::Reply(conn, status, body));
