A job with a huge image no longer ends the controllers

Cause: numbers from outside reached conversions that panic, here the mean time to fetch an image in the window for which idle machines are kept. Disk space was not compared with the size of an image, so a job that fits no machine was accepted and stored, where every new process read it again.

Change: seconds become durations by one total conversion (finchquay_protocol::time), and clippy forbids the others. Disk space counts for acceptance (422), placement and rentals. Numbers of machine types, job records and checkpoints are checked where they enter. Sums of counts saturate. A stored job that can run on no machine type is no demand, keeps no idle machine, and reserves none when it is overdue.

Why it works: no amount that passes the checks can panic, and a job that no machine can hold plays no part in decisions about machines.

--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -13,12 +13,13 @@
 //! ```
 
 #![warn(missing_docs)]
-#![cfg_attr(not(test), warn(clippy::unwrap_used))]
+#![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::disallowed_methods))]
 
 mod endpoints;
 pub mod retry;
 
 use endpoints::{CallOutcome, Endpoints};
+use finchquay_protocol::time::scale_duration;
 use finchquay_protocol::user::{ErrorBody, JobSpec, JobState, Status, is_valid_job_id};
 use finchquay_protocol::{MAX_BODY_BYTES, decode, encode};
 use retry::{Budget, Policy};
@@ -255,7 +256,7 @@
                 },
                 Err(_) => None,
             };
-            let pause = self.inner.options.poll_interval.mul_f64(rand::random_range(0.9..1.1));
+            let pause = scale_duration(self.inner.options.poll_interval, rand::random_range(0.9..1.1));
             if deadline.is_some_and(|deadline| Instant::now() + pause > deadline) {
                 // If the last poll failed, one call with retries still gets the job's state.
                 let state = match last_state {
--- a/crates/client/src/retry.rs
+++ b/crates/client/src/retry.rs
@@ -4,6 +4,7 @@
 
 #![warn(missing_docs)]
 
+use finchquay_protocol::time::scale_duration;
 use std::time::Duration;
 
 /// The retry policy. The defaults are the published rules: the next attempt follows after
@@ -54,7 +55,7 @@
         self.failed_attempts += 1;
         let policy = &self.policy;
         let pause = retry_after.unwrap_or_default().min(policy.max_retry_after).max(policy.min_pause);
-        let pause = pause.mul_f64(1.0 + policy.jitter * random.clamp(0.0, 1.0));
+        let pause = scale_duration(pause, 1.0 + policy.jitter * random.clamp(0.0, 1.0));
         let deadline = self.started_at + policy.time_limit;
         (now + pause <= deadline).then_some(pause)
     }
--- a/crates/protocol/src/cloud.rs
+++ b/crates/protocol/src/cloud.rs
@@ -4,7 +4,8 @@
 
 #![warn(missing_docs)]
 
-use crate::number;
+use crate::user::JobSpec;
+use crate::{is_valid_amount, number};
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
@@ -58,6 +59,40 @@
     pub zones: Vec<String>,
 }
 
+impl MachineType {
+    /// Whether all numbers are within their limits: amounts are finite and not negative, and
+    /// machines can pull images.
+    pub fn has_valid_numbers(&self) -> bool {
+        let amounts = [
+            self.cores,
+            self.gpus,
+            self.mem_gb,
+            self.disk_gb,
+            self.pull_gb_per_s,
+            self.on_demand_price,
+            self.spot_price,
+            self.startup_s,
+        ];
+        amounts.into_iter().all(is_valid_amount) && self.pull_gb_per_s > 0.0
+    }
+
+    /// Whether an empty machine of this type has the resources that a task of the job needs, and
+    /// the disk space for its image.
+    pub fn has_capacity_for(&self, spec: &JobSpec) -> bool {
+        self.cores >= spec.cores
+            && self.gpus >= spec.gpus
+            && self.mem_gb >= spec.mem_gb
+            && self.disk_gb >= spec.image_gb
+    }
+
+    /// Whether tasks of the job may run on machines of this type, and fit on one.
+    pub fn can_run(&self, spec: &JobSpec) -> bool {
+        spec.machine_types.as_ref().is_none_or(|allowed| allowed.contains(&self.name))
+            && spec.zone.as_ref().is_none_or(|zone| self.zones.contains(zone))
+            && self.has_capacity_for(spec)
+    }
+}
+
 /// Request for new machines.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct RentRequest<'a> {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,11 +7,12 @@
 //! Controllers exchange borsh frames among themselves, see [`peer`].
 
 #![warn(missing_docs)]
-#![cfg_attr(not(test), warn(clippy::unwrap_used))]
+#![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::disallowed_methods))]
 
 pub mod cloud;
 pub mod peer;
 pub mod store;
+pub mod time;
 pub mod user;
 pub mod worker;
 
@@ -70,6 +71,11 @@
     Ok(Option::<WireNumber>::deserialize(deserializer)?.map(Into::into))
 }
 
+/// Whether a number can be an amount: it is finite and not negative.
+pub(crate) fn is_valid_amount(amount: f64) -> bool {
+    amount.is_finite() && amount >= 0.0
+}
+
 /// A number in either of its encodings on the wire.
 #[derive(Deserialize)]
 #[serde(untagged)]
--- a/crates/protocol/src/user.rs
+++ b/crates/protocol/src/user.rs
@@ -4,7 +4,7 @@
 
 #![warn(missing_docs)]
 
-use crate::{number, optional_number};
+use crate::{is_valid_amount, number, optional_number};
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
@@ -155,9 +155,9 @@
         (self.checkpoint_interval_s > 0.0).then_some(self.checkpoint_duration_s)
     }
 
-    /// Whether all values are within their limits. It does not check that the machine types
-    /// exist.
-    pub fn is_well_formed(&self) -> bool {
+    /// Whether all numbers are within their limits: amounts are finite and not negative, and the
+    /// number of tasks is allowed. An amount may still be as large as a float can be.
+    pub fn has_valid_numbers(&self) -> bool {
         let amounts = [
             self.cores,
             self.gpus,
@@ -168,9 +168,14 @@
             self.checkpoint_duration_s,
             self.deadline_s.unwrap_or(0.0),
         ];
+        (1..=MAX_TASKS_PER_JOB).contains(&self.task_count) && amounts.into_iter().all(is_valid_amount)
+    }
+
+    /// Whether all values are within their limits. It does not check that the machine types
+    /// exist.
+    pub fn is_well_formed(&self) -> bool {
         is_valid_job_id(&self.uid)
-            && (1..=MAX_TASKS_PER_JOB).contains(&self.task_count)
-            && amounts.iter().all(|amount| amount.is_finite() && *amount >= 0.0)
+            && self.has_valid_numbers()
             && [&self.class, &self.team, &self.image].into_iter().all(|name| valid_name(name))
             && self.zone.as_deref().is_none_or(valid_name)
             && self.machine_types.as_deref().is_none_or(valid_machine_types)
--- a/src/connectivity/peer_table.rs
+++ b/src/connectivity/peer_table.rs
@@ -11,6 +11,7 @@
 use super::failure_detector::FailureDetector;
 use super::heartbeat_tracking::HeartbeatCounters;
 use crate::protocol::peer::{Acknowledgement, PeerHeartbeat, Revocations};
+use crate::protocol::time::scale_duration;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
@@ -196,7 +197,8 @@
     /// The peer, if its last heartbeat is known to be recent. Such a peer receives ours.
     pub fn recent_peer(&self, member: &str) -> Option<&Peer> {
         let peer = self.peers.get(member)?;
-        let oldest_allowed = peer.received_at.saturating_sub(self.interval.mul_f64(MAX_ACKNOWLEDGEMENT_AGE_INTERVALS));
+        let oldest_allowed =
+            peer.received_at.saturating_sub(scale_duration(self.interval, MAX_ACKNOWLEDGEMENT_AGE_INTERVALS));
         peer.sent_after.is_some_and(|sent_after| sent_after >= oldest_allowed).then_some(peer)
     }
 
--- a/src/controller/agents/reconciliation.rs
+++ b/src/controller/agents/reconciliation.rs
@@ -7,12 +7,12 @@
 use crate::coordination::fault_attribution::Verdict;
 use crate::coordination::machine::{Machine, ObservedTask};
 use crate::effects::Instant;
+use crate::protocol::time::duration_from_secs;
 use crate::protocol::user::JobKind;
 use crate::protocol::worker::{Cause, TaskState};
 use crate::reconciliation::difference::{Difference, ObservedState, RecordedState, compare};
 use crate::state::{ClusterState, Job};
 use std::rc::Rc;
-use std::time::Duration;
 
 /// If tasks failed on a machine and either may be at fault, it gets no tasks for this many
 /// heartbeat intervals: until then the tasks are tried elsewhere.
@@ -123,7 +123,7 @@
         if observed.cause == Some(Cause::Error) {
             self.tasks_failed = true;
             self.machine.failures.record_failure(uid);
-            let interval = Duration::from_secs_f64(self.heartbeat_interval_s);
+            let interval = duration_from_secs(self.heartbeat_interval_s);
             self.scheduler.record_failure(uid, self.name, self.now, interval);
         }
         tracing::debug!(
@@ -165,12 +165,12 @@
         match self.machine.failures.verdict(fails_everywhere, |uid| tasks_done(uid) > 0) {
             Verdict::Healthy => {}
             Verdict::Undecided => {
-                let pause = Duration::from_secs_f64(self.heartbeat_interval_s * UNDECIDED_CORDON_INTERVALS);
+                let pause = duration_from_secs(self.heartbeat_interval_s * UNDECIDED_CORDON_INTERVALS);
                 self.machine.cordoned_until = self.now + pause;
             }
             Verdict::Faulty => {
                 tracing::info!(machine = %self.name, failures = ?self.machine.failures, "machine cordoned");
-                self.machine.cordoned_until = self.now + Duration::from_secs_f64(self.lease_s);
+                self.machine.cordoned_until = self.now + duration_from_secs(self.lease_s);
                 self.machine.failures.record_cordon();
             }
         }
--- a/src/controller/agents/suspicion.rs
+++ b/src/controller/agents/suspicion.rs
@@ -7,6 +7,7 @@
 use crate::coordination::machine::Machine;
 use crate::effects::Instant;
 use crate::protocol::cloud::MAX_MACHINES_PER_RELEASE;
+use crate::protocol::time::scale_duration;
 use crate::retry::Purpose as RetryPurpose;
 use crate::scaling::declared_lost_after_s;
 use std::collections::BTreeMap;
@@ -118,7 +119,7 @@
         let workers = &self.config.deployment.workers;
         // A controller that reaches the machine must have had the time to report it.
         let peer_report_time = self.heartbeat_intervals(MAX_HEARTBEAT_GAP_INTERVALS)
-            + Self::peer_heartbeat_interval(self.heartbeat_intervals(1.0)).mul_f64(PEER_REPORT_INTERVALS);
+            + scale_duration(Self::peer_heartbeat_interval(self.heartbeat_intervals(1.0)), PEER_REPORT_INTERVALS);
         let after_heartbeat = self.heartbeat_intervals(self.config.operator.silent_reports).max(peer_report_time);
         SilenceLimits {
             after_heartbeat,
--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -169,13 +169,7 @@
         if spec.zone_affinity && spec.zone_anti_affinity && spec.task_count > 1 {
             return true;
         }
-        !self.cloud.catalog().iter().any(|offered| {
-            spec.machine_types.as_ref().is_none_or(|allowed| allowed.contains(&offered.name))
-                && spec.zone.as_ref().is_none_or(|zone| offered.zones.contains(zone))
-                && offered.cores >= spec.cores
-                && offered.gpus >= spec.gpus
-                && offered.mem_gb >= spec.mem_gb
-        })
+        !self.cloud.any_type_can_run(spec)
     }
 
     /// Answers a status query: at once if the job has ended, otherwise after a read.
--- a/src/controller/autoscaler/demand.rs
+++ b/src/controller/autoscaler/demand.rs
@@ -100,7 +100,7 @@
         let policy = self.cost_policy(capacities);
         let replicas_leaving = self.replicas_leaving();
         let (mut services, mut others) = (Vec::new(), Vec::new());
-        for job in self.uncancelled_jobs() {
+        for job in self.runnable_jobs() {
             let leaving = replicas_leaving.get(job.spec.uid.as_str()).copied().unwrap_or(0);
             let Some(waiting) = self.waiting_tasks(job, leaving, policy) else { continue };
             if self.has_start_objective(&job.spec) {
@@ -116,9 +116,11 @@
         FleetDemand { services, others }
     }
 
-    /// All jobs that have not been cancelled.
-    fn uncancelled_jobs(&self) -> impl Iterator<Item = &Job> {
-        self.state.jobs.values().filter(|job| !job.cancelled())
+    /// The jobs that have not been cancelled and can run on some machine type. Others, whose
+    /// type the cloud no longer offers or which an earlier version accepted, would be demand that
+    /// no machine can ever meet.
+    pub(super) fn runnable_jobs(&self) -> impl Iterator<Item = &Job> {
+        self.state.jobs.values().filter(|job| !job.cancelled() && self.cloud.any_type_can_run(&job.spec))
     }
 
     /// Whether the job is a service with an objective for its start.
@@ -167,9 +169,9 @@
     /// capacity elsewhere at once if that machine fails.
     fn headroom(&self) -> Vec<Demand<'_>> {
         let mut classes: BTreeMap<&str, (&JobSpec, u32)> = BTreeMap::new();
-        for job in self.uncancelled_jobs().filter(|job| self.has_start_objective(&job.spec)) {
+        for job in self.runnable_jobs().filter(|job| self.has_start_objective(&job.spec)) {
             let (_, tasks) = classes.entry(&job.spec.class).or_insert((&job.spec, 0));
-            *tasks += job.spec.task_count;
+            *tasks = tasks.saturating_add(job.spec.task_count);
         }
         let mut most_on_one_machine: BTreeMap<&str, u32> = BTreeMap::new();
         for (class, tasks) in self.state.machine_loads.values().flat_map(|load| &load.service_replicas) {
@@ -178,7 +180,7 @@
         }
         let mut headroom = Vec::new();
         for (class, (spec, tasks)) in classes {
-            let share = (f64::from(tasks) * self.config.operator.spare_share).ceil() as u32 + 1;
+            let share = ((f64::from(tasks) * self.config.operator.spare_share).ceil() as u32).saturating_add(1);
             let tasks = share.max(most_on_one_machine.get(class).copied().unwrap_or(0));
             headroom.push(Demand::headroom(spec, tasks));
         }
@@ -188,7 +190,7 @@
     /// Cores per second that ending array tasks free, if arrays use all of `cores`.
     fn freed_cores_per_s(&self, cores: f64) -> f64 {
         let (mut run_s, mut tasks) = (0.0, 0.0);
-        for job in self.uncancelled_jobs().filter(|job| job.spec.kind == JobKind::Array) {
+        for job in self.runnable_jobs().filter(|job| job.spec.kind == JobKind::Array) {
             run_s += f64::from(job.spec.task_count) * job.spec.estimated_run_s;
             tasks += f64::from(job.spec.task_count);
         }
--- a/src/controller/autoscaler/scale_in.rs
+++ b/src/controller/autoscaler/scale_in.rs
@@ -138,7 +138,7 @@
     /// over the times for which idle machines are kept.
     fn update_free_cores(&mut self, capacities: &[MachineCapacity], saves_cost: bool) -> LeastFreeCores {
         let now = self.now;
-        if self.state.jobs.values().any(|job| job.waiting_count() > 0 && job.spec.kind != JobKind::Service) {
+        if self.runnable_jobs().any(|job| job.waiting_count() > 0 && job.spec.kind != JobKind::Service) {
             self.autoscaler.batch_waited_at = Some(now);
         }
         let free_cores = capacities.iter().map(|capacity| capacity.free_cores()).sum();
@@ -164,11 +164,15 @@
 
     /// How long capacity has to be free before its machine is drained: `factor` times the
     /// setting `idle_boots` times what a replacement would take, which is the boot of a
-    /// machine and the fetch of an image.
+    /// machine and the fetch of an image. Jobs that can run on no machine do not count.
     fn idle_window(&self, factor: f64) -> Duration {
         let pull_gb_per_s = self.cloud.fastest_pull_gb_per_s();
-        let seconds_until_image = self.state.jobs.values().map(|job| job.spec.image_gb / pull_gb_per_s);
-        let mean_image_s = seconds_until_image.sum::<f64>() / (self.state.jobs.len() as f64).max(1.0);
+        let (mut jobs, mut seconds_until_image) = (0.0, 0.0);
+        for job in self.runnable_jobs() {
+            jobs += 1.0;
+            seconds_until_image += job.spec.image_gb / pull_gb_per_s;
+        }
+        let mean_image_s = seconds_until_image / f64::max(jobs, 1.0);
         let replacement_s = self.cloud.longest_startup_s() + mean_image_s;
         self.secs(replacement_s * self.config.operator.idle_boots * factor)
     }
--- a/src/controller/autoscaler/scale_out.rs
+++ b/src/controller/autoscaler/scale_out.rs
@@ -12,9 +12,6 @@
 
 /// Timeout of a rental request, in heartbeat intervals.
 const RENT_TIMEOUT_INTERVALS: f64 = 2.0;
-/// Upper bound on the boot limit of a new rental. The limit of an unknown machine type is too
-/// large for a `Duration`.
-const MAX_BOOT_LIMIT_S: f64 = 1e6;
 
 impl Controller {
     /// Free capacity of all machines that are up, booting or just rented, spot machines first.
@@ -31,7 +28,7 @@
             }
         }
         for (name, rented) in &self.autoscaler.rented {
-            let boot_limit = self.secs(self.boot_limit_s(&rented.offer.machine_type).min(MAX_BOOT_LIMIT_S));
+            let boot_limit = self.secs(self.boot_limit_s(&rented.offer.machine_type));
             let newly_rented = self.now.saturating_sub(rented.rented_at) < boot_limit;
             if newly_rented
                 && expected(name)
@@ -69,7 +66,8 @@
         let unavailable: BTreeSet<Offer> = self.autoscaler.unavailable.keys().cloned().collect();
         let mut for_others = self.expected_capacities(CountedTasks::All);
         let FleetDemand { services, others } = self.demand(&for_others);
-        let max_machines = MAX_MACHINES_PER_RENT * (self.cloud.available_requests(self.now) as u32).max(1);
+        let max_machines =
+            MAX_MACHINES_PER_RENT.saturating_mul((self.cloud.available_requests(self.now) as u32).max(1));
         let for_services = self.expected_capacities(CountedTasks::ExceptArrays);
         let types = self.cloud.catalog();
         let mut rentals = plan_rentals(&services, for_services, types, &unavailable, max_machines);
--- a/src/controller/cloud.rs
+++ b/src/controller/cloud.rs
@@ -7,6 +7,7 @@
 use crate::protocol::cloud::{CATALOG_PATH, Catalog, MachinePage, Phase, list_path};
 use crate::protocol::decode;
 use crate::protocol::store::{Condition, Op};
+use crate::protocol::user::JobSpec;
 use crate::state::records::Versions;
 use records::MachineRecord;
 
@@ -161,7 +162,21 @@
     /// Uses the stored catalog until the cloud answers. The catalog is still read from the
     /// cloud when it is due.
     pub(super) fn load_stored_catalog(&mut self, types: &[MachineType]) {
-        self.catalog = types.to_vec();
+        self.set_catalog(types.to_vec());
+    }
+
+    /// Replaces the catalog. Machine types with invalid numbers are left out.
+    fn set_catalog(&mut self, types: Vec<MachineType>) {
+        let (valid, invalid): (Vec<_>, Vec<_>) = types.into_iter().partition(MachineType::has_valid_numbers);
+        for machine_type in invalid {
+            tracing::warn!(machine_type = %machine_type.name, "machine type with invalid numbers ignored");
+        }
+        self.catalog = valid;
+    }
+
+    /// Whether the cloud offers a machine type on which tasks of the job can run.
+    pub(super) fn any_type_can_run(&self, spec: &JobSpec) -> bool {
+        self.catalog.iter().any(|machine_type| machine_type.can_run(spec))
     }
 
     /// Whether the catalog should be read: there is none, or its next read is due.
@@ -182,7 +197,7 @@
         let reply = result.ok().filter(|reply| reply.status == OK);
         match reply.and_then(|reply| decode::<Catalog>(&reply.body).ok()) {
             Some(catalog) => {
-                self.catalog = catalog.machine_types;
+                self.set_catalog(catalog.machine_types);
                 true
             }
             None => {
--- a/src/controller/journal/mod.rs
+++ b/src/controller/journal/mod.rs
@@ -172,7 +172,7 @@
         if checkpoints.len() > max_checkpoints || compaction::total_size(&checkpoints) > checkpoint_bytes {
             return self.send_checkpoints_first(checkpoints, max_checkpoints);
         }
-        let conditions = (store.txn_ops * MAX_CONDITIONS_PER_OP).saturating_sub(checkpoints.len() + 1);
+        let conditions = store.txn_ops.saturating_mul(MAX_CONDITIONS_PER_OP).saturating_sub(checkpoints.len() + 1);
         let limits = SegmentLimits { conditions, bytes: segment_bytes };
         let inputs = SegmentInputs {
             now: self.now,
--- a/src/controller/journal/segment.rs
+++ b/src/controller/journal/segment.rs
@@ -13,12 +13,12 @@
 use crate::effects::Instant;
 use crate::placement::Start;
 use crate::protocol::store::Condition;
+use crate::protocol::time::duration_from_secs;
 use crate::protocol::user::{JobKind, JobSpec};
 use crate::state::log_segment::max_bytes;
 use crate::state::records::{Placement, TeamRecord};
 use crate::state::{ClusterState, Job, Resources, records};
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 /// The inputs for a segment, which are only read.
 #[derive(Clone, Copy)]
@@ -287,7 +287,7 @@
         let record = inputs.state.teams.get(&team.name);
         let (is_strict, version) = record.map_or((false, 0), |record| (record.rec.strict, record.version));
         let controllers = inputs.settings.controllers();
-        let replica_age = Duration::from_secs_f64(inputs.settings.deployment.workers.heartbeat_interval_s.max(0.0));
+        let replica_age = duration_from_secs(inputs.settings.deployment.workers.heartbeat_interval_s);
         let admitted = self.reservations.admits(&team.name, need, quota_use, controllers, inputs.now, replica_age);
         if !is_strict {
             if admitted {
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -36,6 +36,7 @@
 use crate::protocol::cloud::{ListedMachine, MachineType};
 use crate::protocol::peer::Frame;
 use crate::protocol::store::{self, Txn};
+use crate::protocol::time::duration_from_secs;
 use crate::protocol::worker::Heartbeat;
 use crate::reconciliation::phase::Startup;
 use crate::requests::{Event as RequestEvent, Requests};
@@ -92,8 +93,8 @@
 /// The shortest pause after a failed call, by the purpose of the call. Pauses are fractions
 /// of the intervals in the settings, of the lease's `ttl` and of the `read_interval` between reads.
 fn base_pauses(config: &Settings, ttl: Duration, read_interval: Duration) -> Vec<(RetryPurpose, Duration)> {
-    let heartbeat_interval = Duration::from_secs_f64(config.deployment.workers.heartbeat_interval_s);
-    let list_lag = Duration::from_secs_f64(config.deployment.cloud.list_lag_s);
+    let heartbeat_interval = duration_from_secs(config.deployment.workers.heartbeat_interval_s);
+    let list_lag = duration_from_secs(config.deployment.cloud.list_lag_s);
     vec![
         (RetryPurpose::Lease, read_interval * 2),
         (RetryPurpose::Renew, ttl / 16),
@@ -151,10 +152,10 @@
         let platform = &config.deployment;
         let controllers = config.controllers() as f64;
         // Each kind of steady read may use a quarter of the store's request limit.
-        let read_interval = Duration::from_secs_f64(controllers / (platform.state.rps * 0.25));
+        let read_interval = duration_from_secs(controllers / (platform.state.rps * 0.25));
         let workers = &platform.workers;
-        let ttl = Duration::from_secs_f64((workers.heartbeat_interval_s * 2.0).min(workers.lease_s / 3.0));
-        let heartbeat_interval = Self::peer_heartbeat_interval(Duration::from_secs_f64(workers.heartbeat_interval_s));
+        let ttl = duration_from_secs((workers.heartbeat_interval_s * 2.0).min(workers.lease_s / 3.0));
+        let heartbeat_interval = Self::peer_heartbeat_interval(duration_from_secs(workers.heartbeat_interval_s));
         let checkpoint_size = records::checkpoint_size(platform.state.value_kb, platform.state.write_rps / controllers);
         Controller {
             process: Process::new(config.member.clone(), incarnation >> 1, wall_clock),
@@ -168,8 +169,8 @@
             ),
             transactions: Transactions::new(platform.state.write_rps / controllers * USABLE_WRITE_FRACTION),
             startup: Startup::new(
-                Duration::from_secs_f64(workers.lease_s),
-                Duration::from_secs_f64(
+                duration_from_secs(workers.lease_s),
+                duration_from_secs(
                     workers.heartbeat_interval_s * startup::MAX_HEARTBEAT_INTERVALS + agents::CONTROLLER_SWITCH_S,
                 ),
             ),
@@ -282,9 +283,9 @@
         self.cloud.set_request_rate(platform.cloud.rps * cloud_fraction);
     }
 
-    /// A duration in seconds; negative values count as zero.
+    /// A duration in seconds, with the bounds of [`duration_from_secs`].
     fn secs(&self, seconds: f64) -> Duration {
-        Duration::from_secs_f64(seconds.max(0.0))
+        duration_from_secs(seconds)
     }
 
     /// The duration of this many heartbeat intervals of the workers.
--- a/src/controller/scheduler/gangs.rs
+++ b/src/controller/scheduler/gangs.rs
@@ -12,9 +12,9 @@
 use crate::controller::journal::is_wide_gang;
 use crate::coordination::machine::Machine;
 use crate::effects::Instant;
+use crate::protocol::time::duration_from_secs;
 use crate::state::Job;
 use crate::state::records::Placement;
-use std::time::Duration;
 
 /// Whether the job is a wide gang of which only some placements are stored. None of its tasks
 /// has been ordered from an agent then.
@@ -28,7 +28,7 @@
     /// then withdraws its placements, with proof that the tasks do not run, and the gang is
     /// placed again.
     pub(in crate::controller) fn gang_placement_expired(&self, job: &Job, settings: &Settings, now: Instant) -> bool {
-        let lease = Duration::from_secs_f64(settings.deployment.workers.lease_s.max(0.0));
+        let lease = duration_from_secs(settings.deployment.workers.lease_s);
         let since = self.queue.get(&job.spec.uid).and_then(|queued| queued.partly_placed_since());
         is_partly_placed(job, settings) && since.is_some_and(|since| now.saturating_sub(since) > lease)
     }
--- a/src/controller/scheduler/queue.rs
+++ b/src/controller/scheduler/queue.rs
@@ -5,6 +5,7 @@
 
 use crate::coordination::fault_attribution::JobFailures;
 use crate::effects::Instant;
+use crate::protocol::time::duration_from_secs;
 use crate::protocol::user::JobKind;
 use crate::state::{ClusterState, Job};
 use std::collections::HashMap;
@@ -78,7 +79,7 @@
     fn first_seen(job: &Job, wall_ms: u64) -> QueuedJob {
         // A job without any started task has waited since it was submitted.
         let waited_before_s = if job.done + job.placed == 0 { age_s(job, wall_ms) } else { 0.0 };
-        QueuedJob { waited_before: Duration::from_secs_f64(waited_before_s), ..QueuedJob::default() }
+        QueuedJob { waited_before: duration_from_secs(waited_before_s), ..QueuedJob::default() }
     }
 
     /// Records that the job has waiting tasks now.
--- a/src/controller/scheduler/round.rs
+++ b/src/controller/scheduler/round.rs
@@ -10,6 +10,7 @@
 use crate::controller::transactions::Transactions;
 use crate::effects::Instant;
 use crate::protocol::cloud::MachineType;
+use crate::protocol::time::duration_from_secs;
 use crate::protocol::user::{JobKind, JobSpec};
 use crate::state::objectives::Objectives;
 use crate::state::{ClusterState, Job, records};
@@ -43,7 +44,7 @@
 impl<'a> SchedulingRound<'a> {
     /// The duration of `count` heartbeat intervals of the agents.
     pub(super) fn heartbeat_intervals(&self, count: f64) -> Duration {
-        Duration::from_secs_f64((self.settings.deployment.workers.heartbeat_interval_s * count).max(0.0))
+        duration_from_secs(self.settings.deployment.workers.heartbeat_interval_s * count)
     }
 
     /// Seconds since the job was submitted.
--- a/src/controller/scheduler/starts.rs
+++ b/src/controller/scheduler/starts.rs
@@ -115,7 +115,7 @@
         window: operator.window,
         step_gb: operator.step_mb / MEGABYTES_PER_GIGABYTE,
         wait_limit_s: operator.wait_limit_s,
-        kept_for_gangs: gangs.map(Job::waiting_count).sum::<u32>() as usize,
+        kept_for_gangs: gangs.map(|job| job.waiting_count() as usize).sum(),
     }
 }
 
--- a/src/controller/service_levels.rs
+++ b/src/controller/service_levels.rs
@@ -79,7 +79,7 @@
         // Jobs submitted while the first machines were still booting do not show whether the
         // fleet is large enough.
         let boot_ms = if self.fleet_started_empty { (startup_s * 1000.0) as u64 } else { 0 };
-        if self.fleet_since_ms.is_some_and(|since| submitted_ms >= since + boot_ms) {
+        if self.fleet_since_ms.is_some_and(|since| submitted_ms >= since.saturating_add(boot_ms)) {
             self.objectives.record_completion(spec, took_s);
         }
     }
--- a/src/controller/task_ranges.rs
+++ b/src/controller/task_ranges.rs
@@ -179,7 +179,8 @@
         let waits_with_same_image =
             |job: &&Job| job.spec.image == spec.image && job.spec.uid != spec.uid && job.waiting_count() > 0;
         for range in self.state.jobs.values().filter(waits_with_same_image).flat_map(|job| &job.rec.rec.task_ranges) {
-            *waiting_with_image.entry(range.member.clone()).or_default() += range.to + 1 - range.from;
+            let waiting: &mut u32 = waiting_with_image.entry(range.member.clone()).or_default();
+            *waiting = waiting.saturating_add(range.to - range.from).saturating_add(1);
         }
         let longest_name = members.iter().map(String::len).max().unwrap_or(0);
         let tasks_per_record = records::task_range_size(
--- a/src/coordination/rate_limiter.rs
+++ b/src/coordination/rate_limiter.rs
@@ -16,6 +16,7 @@
 #![warn(missing_docs)]
 
 use crate::effects::Instant;
+use crate::protocol::time::duration_from_secs;
 use std::time::Duration;
 
 /// The order in which writes are admitted when the rate does not allow all of them.
@@ -117,7 +118,7 @@
 
     /// How long a priority must wait until it is overdue.
     fn overdue_after(&self) -> Duration {
-        Duration::from_secs_f64(
+        duration_from_secs(
             (OVERDUE_WRITES / self.rate.max(f64::MIN_POSITIVE)).clamp(OVERDUE_MIN_S, f64::from(u16::MAX)),
         )
     }
--- a/src/coordination/shards/assignment.rs
+++ b/src/coordination/shards/assignment.rs
@@ -84,6 +84,10 @@
     image_copies: u32,
 }
 
+/// The longest queue that is told from longer ones. Queues are measured in tasks of one job,
+/// and tasks may need next to nothing.
+const MAX_QUEUED_TASKS: f64 = u32::MAX as f64;
+
 impl AssignmentInputs<'_> {
     /// The number of the job's tasks for which each member has room after its queue; negative if
     /// the queue needs more than its room.
@@ -93,7 +97,8 @@
 
     /// The length of the member's queue, expressed in tasks of the job.
     fn queued_tasks(&self, spec: &JobSpec, member: &str) -> i64 {
-        (self.queued_cores.get(member).copied().unwrap_or(0.0) / spec.cores.max(f64::MIN_POSITIVE)) as i64
+        let tasks = self.queued_cores.get(member).copied().unwrap_or(0.0) / spec.cores.max(f64::MIN_POSITIVE);
+        tasks.min(MAX_QUEUED_TASKS) as i64
     }
 
     /// The offer of each member, in the order of `members`.
@@ -117,7 +122,8 @@
     fn image_copies(&self, spec: &JobSpec) -> BTreeMap<String, u32> {
         let mut copies = self.waiting_with_image.clone();
         for (member, _) in self.capacities.iter().filter(|(_, capacity)| capacity.has_image(spec)) {
-            *copies.entry(member.clone()).or_default() += 1;
+            let copies_in_shard = copies.entry(member.clone()).or_default();
+            *copies_in_shard = copies_in_shard.saturating_add(1);
         }
         copies
     }
--- a/src/coordination/token_bucket.rs
+++ b/src/coordination/token_bucket.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 use crate::effects::Instant;
+use crate::protocol::time::scale_duration;
 use std::time::Duration;
 
 /// Paces the reads of one kind.
@@ -26,7 +27,7 @@
     /// reads; `burst` is the number of reads that may be sent at once after a pause, and counts
     /// as at least one.
     pub fn new(interval: Duration, burst: f64) -> TokenBucket {
-        let tolerance = interval.mul_f64((burst - 1.0).max(0.0));
+        let tolerance = scale_duration(interval, (burst - 1.0).max(0.0));
         TokenBucket { interval, tolerance, next_due: Duration::ZERO }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! finchquay is a cluster scheduler: its controllers run jobs on machines that they provision
 //! from a cloud. `docs/design.md` describes the design, and why it is safe.
 
-#![cfg_attr(not(test), warn(clippy::unwrap_used))]
+#![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::disallowed_methods))]
 
 pub mod config;
 pub mod connectivity;
--- a/src/placement/capacity.rs
+++ b/src/placement/capacity.rs
@@ -34,6 +34,8 @@
     pub total_gpus: f64,
     /// Memory of the empty machine, in GB.
     pub total_mem_gb: f64,
+    /// Disk space for images, in GB.
+    pub disk_gb: f64,
     /// Rate at which the machine fetches images, in GB per second, shared by all its fetches.
     pub pull_gb_per_s: f64,
     /// Two sets of images: those of the tasks placed on the machine, which it holds or
@@ -59,6 +61,7 @@
             total_cores: machine_type.cores,
             total_gpus: machine_type.gpus,
             total_mem_gb: machine_type.mem_gb,
+            disk_gb: machine_type.disk_gb,
             pull_gb_per_s: machine_type.pull_gb_per_s,
             images: Default::default(),
             used_by_arrays: Resources::default(),
@@ -81,7 +84,10 @@
 
     /// Like [`fitting_tasks`](Self::fitting_tasks), as if the resources in `preempted` were free as well.
     pub(super) fn fits_beside(&self, spec: &JobSpec, preempted: &Resources) -> u32 {
-        if self.cores + preempted.cores + ROUNDING_TOLERANCE < spec.cores || !self.allowed(spec) {
+        if self.cores + preempted.cores + ROUNDING_TOLERANCE < spec.cores
+            || !self.allowed(spec)
+            || !self.holds_image(spec)
+        {
             return 0;
         }
         let quotient = |free: f64, need: f64| {
@@ -93,6 +99,20 @@
         count.min(f64::from(MAX_TASKS_PER_JOB)) as u32
     }
 
+    /// Whether the machine has the disk space for the job's image.
+    fn holds_image(&self, spec: &JobSpec) -> bool {
+        spec.image_gb <= self.disk_gb + ROUNDING_TOLERANCE
+    }
+
+    /// Whether a task of the job could run on the machine if that were empty.
+    pub(super) fn could_hold(&self, spec: &JobSpec) -> bool {
+        self.allowed(spec)
+            && self.holds_image(spec)
+            && spec.cores <= self.total_cores + ROUNDING_TOLERANCE
+            && spec.gpus <= self.total_gpus + ROUNDING_TOLERANCE
+            && spec.mem_gb <= self.total_mem_gb + ROUNDING_TOLERANCE
+    }
+
     /// The free share of the machine's scarcest resource: free cores are not usable on a machine
     /// whose GPUs are all in use.
     pub fn free_share(&self) -> f64 {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -395,11 +395,8 @@
 /// if they were empty: one per waiting task of a gang, else one.
 fn reserve_emptiest(capacities: &[MachineCapacity], job: &WaitingJob, reserved: &mut BTreeSet<String>) {
     let count = if job.spec.kind == JobKind::Gang { job.tasks.len() } else { 1 };
-    let is_large_enough = |capacity: &MachineCapacity| capacity.total_cores + ROUNDING_TOLERANCE >= job.spec.cores;
-    let mut suitable: Vec<&MachineCapacity> = capacities
-        .iter()
-        .filter(|c| c.allowed(job.spec) && is_large_enough(c) && !reserved.contains(&c.machine))
-        .collect();
+    let mut suitable: Vec<&MachineCapacity> =
+        capacities.iter().filter(|c| c.could_hold(job.spec) && !reserved.contains(&c.machine)).collect();
     suitable.sort_by(|a, b| b.cores.total_cmp(&a.cores).then(a.machine.cmp(&b.machine)));
     reserved.extend(suitable.iter().take(count).map(|capacity| capacity.machine.clone()));
 }
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -18,6 +18,7 @@
         total_cores: 8.0,
         total_gpus: 0.0,
         total_mem_gb: 32.0,
+        disk_gb: 60.0,
         pull_gb_per_s: 0.25,
         images: [Images::default(), Images::new([image.to_string()].into())],
         used_by_arrays: Resources::default(),
@@ -264,3 +265,23 @@
     assert_eq!((on("m1"), on("m2"), on("m3")), (0, 8, 7));
     assert!(starts.iter().any(|s| s.uid == "run-2" && s.machine == "m1"));
 }
+
+/// A job whose image exceeds the disk of every machine was accepted by an earlier version. It was
+/// placed where it could never fetch its image, and once it was overdue, it kept the emptiest
+/// machine from taking other tasks.
+#[test]
+fn a_job_that_fits_no_machine_takes_and_reserves_none() {
+    let (mut too_large, usual) = (JobSpec::example("run-1"), JobSpec::example("run-2"));
+    for set in [
+        |spec: &mut JobSpec| spec.image_gb = 1e30,
+        |spec: &mut JobSpec| spec.mem_gb = 1e30,
+        |spec: &mut JobSpec| spec.gpus = 1e30,
+        |spec: &mut JobSpec| spec.cores = 1e30,
+    ] {
+        set(&mut too_large);
+        let overdue = WaitingJob { waited_s: 100.0, ..waiting_job(&too_large, 1, 1.0, 1.0) };
+        let started = starts_of(&mut [capacity("m1", 8.0, "img")], vec![overdue, waiting_job(&usual, 2, 1.0, 1.0)]);
+        assert!(started.len() == 2 && started.iter().all(|start| start.uid == "run-2"), "{started:?}");
+        too_large = JobSpec::example("run-1");
+    }
+}
--- a/src/reconciliation/phase.rs
+++ b/src/reconciliation/phase.rs
@@ -17,6 +17,7 @@
 #![warn(missing_docs)]
 
 use super::difference::Difference;
+use crate::protocol::time::scale_duration;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -163,8 +164,8 @@
         }
         let stopped_growing = self.has_stopped_growing(observed.fleet);
         let timed_out = self.elapsed >= self.lease || self.elapsed >= self.round && stopped_growing;
-        self.members_known |=
-            observed.members.heard >= observed.members.all || self.elapsed >= self.lease.mul_f64(MEMBERS_WAIT_LEASES);
+        self.members_known |= observed.members.heard >= observed.members.all
+            || self.elapsed >= scale_duration(self.lease, MEMBERS_WAIT_LEASES);
         let previous = self.phase;
         let members_known = self.members_known || observed.fleet.all == 0;
         if self.phase == Phase::Gathering && (timed_out || members_known && observed.fleet.most()) {
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -17,6 +17,7 @@
 
 #![warn(missing_docs)]
 
+use crate::protocol::time::{duration_from_secs, scale_duration};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
@@ -184,7 +185,7 @@
         }
         // The pause is at least half of the shortest one, so that repeated failures never cause a
         // flood of calls.
-        backoff.not_before = now + base_pause / 2 + max_jitter.mul_f64(self.rng.random_range(0.0..1.0));
+        backoff.not_before = now + base_pause / 2 + scale_duration(max_jitter, self.rng.random_range(0.0..1.0));
     }
 
     /// The number of failures of each purpose since this was last called. Purposes without
@@ -218,7 +219,7 @@
     pub fn next_delay_s(&mut self, now: Duration, rate: f64) -> u32 {
         let soonest = now + Duration::from_secs(1);
         let longest = now + Duration::from_secs(MAX_RETRY_AFTER_S);
-        let slot_length = Duration::from_secs_f64(1.0 / (rate * CLIENTS_PER_SLOT).max(1.0));
+        let slot_length = duration_from_secs(1.0 / (rate * CLIENTS_PER_SLOT).max(1.0));
         self.last = (self.last.max(soonest) + slot_length).min(longest);
         self.last.saturating_sub(now).as_secs() as u32
     }
--- a/src/state/cluster_state.rs
+++ b/src/state/cluster_state.rs
@@ -7,7 +7,7 @@
 use super::log_replay::{MemberLog, SnapshotSegments};
 use super::machine_load::{MachineLoad, PlacedTasks};
 use super::records::{
-    CatalogRecord, LeaderRecord, MachineGroupRecord, MachineRecord, MemberRecord, ShardGrantRecord,
+    CatalogRecord, JobRecord, LeaderRecord, MachineGroupRecord, MachineRecord, MemberRecord, ShardGrantRecord,
     TaskRangeCheckpoint, TeamRecord, TermRecord,
 };
 use super::versioned::{Versioned, Versions, from_value, remove, remove_named, update, update_named};
@@ -158,7 +158,7 @@
     fn put_job_data(&mut self, key: Key, data: &Value, version: u64) {
         match key {
             Key::Job(uid) => {
-                if let Some(record) = from_value(data) {
+                if let Some(record) = from_value::<JobRecord>(data) {
                     self.put_job(uid, record, version);
                 }
             }
--- a/src/state/index_ranges.rs
+++ b/src/state/index_ranges.rs
@@ -31,7 +31,7 @@
 
 /// The number of indexes in all ranges.
 pub fn count_ranges(ranges: &[(u32, u32)]) -> u32 {
-    ranges.iter().map(|range| range.1 - range.0 + 1).sum()
+    ranges.iter().map(|(from, to)| to - from + 1).sum()
 }
 
 #[cfg(test)]
--- a/src/state/job.rs
+++ b/src/state/job.rs
@@ -70,6 +70,13 @@
         self.spec.task_count.div_ceil(size)
     }
 
+    /// The indexes of the tasks of a checkpoint; empty if the job has no such checkpoint.
+    /// Checkpoints have `size` tasks each.
+    pub(super) fn checkpoint_indexes(&self, number: u32, size: u32) -> Range<u32> {
+        let from = number.saturating_mul(size).min(self.spec.task_count);
+        from..from.saturating_add(size).min(self.spec.task_count)
+    }
+
     /// Whether the job has been cancelled.
     pub fn cancelled(&self) -> bool {
         self.rec.rec.final_status == Some(Status::Cancelled)
@@ -102,7 +109,7 @@
         }
         let mut taken = vec![false; self.spec.task_count as usize];
         for (number, range) in &self.task_states {
-            let end = ((number + 1) * size).min(self.spec.task_count);
+            let end = self.checkpoint_indexes(*number, size).end;
             for (from, to) in &range.rec.done {
                 let to = (to + 1).min(end);
                 taken[(*from).min(to) as usize..to as usize].fill(true);
--- a/src/state/job_table.rs
+++ b/src/state/job_table.rs
@@ -70,6 +70,10 @@
         if self.ended_jobs.contains_key(uid) {
             return;
         }
+        if !record.has_valid_numbers() {
+            tracing::error!(job = %uid, "job record with invalid numbers");
+            return;
+        }
         match record.spec.clone() {
             None => self.end_job(uid, &record),
             Some(_) if self.jobs.contains_key(uid) => self.update_job(uid, record, version),
--- a/src/state/log_replay.rs
+++ b/src/state/log_replay.rs
@@ -103,15 +103,14 @@
     fn replay_job_entries(&mut self, uid: &str, entries: &LogEntries, version: u64) {
         let size = self.checkpoint_size;
         let Some(job) = self.jobs.get_mut(uid) else { return };
-        let task_count = job.spec.task_count;
         let range_count = job.checkpoint_count(size);
         for number in entries.checkpoint_numbers(size).into_iter().filter(|number| *number < range_count) {
+            let indexes = job.checkpoint_indexes(number, size);
             let range = job.task_states.entry(number).or_default();
             if version <= range.rec.as_of_revision {
                 continue;
             }
             range.last_revision = range.last_revision.max(version);
-            let indexes = number * size..((number + 1) * size).min(task_count);
             let changes = range.replay(entries, indexes);
             apply_changes(job, &mut self.placed_tasks, &mut self.machine_loads, &changes);
         }
@@ -130,6 +129,10 @@
             checkpoints.insert(number, Versioned { rec: record, version });
             return;
         };
+        if !record.is_within(&job.checkpoint_indexes(number, self.checkpoint_size)) {
+            tracing::error!(job = %uid, number, "invalid task-range checkpoint");
+            return;
+        }
         let Some(replaced) = replace_checkpoint(job, number, record, version) else { return };
         let current = &job.task_states[&number].rec;
         job.done = job.done + count_ranges(&current.done) - count_ranges(&replaced.done);
--- a/src/state/records.rs
+++ b/src/state/records.rs
@@ -15,6 +15,7 @@
 use crate::protocol::cloud::MachineType;
 use crate::protocol::user::{JobSpec, Status};
 use serde::{Deserialize, Serialize};
+use std::ops::Range;
 
 /// The format of the records that this version of the program writes. It also reads earlier
 /// formats, and leaves state of a later format alone.
@@ -103,6 +104,17 @@
     pub task_ranges: Vec<TaskRange>,
 }
 
+impl JobRecord {
+    /// Whether all numbers are within their limits: those of the specification, and the task
+    /// ranges, which lie within the job's tasks.
+    pub fn has_valid_numbers(&self) -> bool {
+        self.spec.as_ref().is_none_or(|spec| {
+            let is_valid = |range: &TaskRange| range.from <= range.to && range.to < spec.task_count;
+            spec.has_valid_numbers() && self.task_ranges.iter().all(is_valid)
+        })
+    }
+}
+
 /// A checkpoint of the logs: the state of a fixed number of consecutive tasks of a job. Key:
 /// `checkpoint_key`. Written by any controller whose log is about to overwrite a segment with
 /// entries about these tasks.
@@ -126,6 +138,14 @@
     pub as_of_revision: u64,
 }
 
+impl TaskRangeCheckpoint {
+    /// Whether the checkpoint is only about tasks with these indexes.
+    pub fn is_within(&self, indexes: &Range<u32>) -> bool {
+        let is_valid = |(from, to): &(u32, u32)| from <= to && indexes.contains(from) && indexes.contains(to);
+        self.done.iter().all(is_valid) && self.placements.iter().all(|placement| indexes.contains(&placement.index))
+    }
+}
+
 fn is_zero(revision: &u64) -> bool {
     *revision == 0
 }
--- a/src/state/service_levels.rs
+++ b/src/state/service_levels.rs
@@ -174,8 +174,8 @@
         counts.longest_wait_s = counts.longest_wait_s.max(age_s);
     }
     if job.spec.kind == JobKind::Service {
-        counts.replicas += job.spec.task_count;
-        counts.placed += job.placed;
+        counts.replicas = counts.replicas.saturating_add(job.spec.task_count);
+        counts.placed = counts.placed.saturating_add(job.placed);
     }
 }
 
--- a/src/state/sizing.rs
+++ b/src/state/sizing.rs
@@ -36,7 +36,8 @@
 /// value limit, which leaves the rest of the job's record for its specification.
 pub fn task_range_size(value_kb: f64, name_bytes: usize, checkpoint_size: u32, task_count: u32) -> u32 {
     let max_ranges = (value_kb * 1024.0 / 2.0) as usize / (MAX_TASK_RANGE_BYTES + name_bytes);
-    checkpoint_size * task_count.div_ceil(checkpoint_size).div_ceil(max_ranges.max(1) as u32).max(1)
+    let max_ranges = u32::try_from(max_ranges).unwrap_or(u32::MAX).max(1);
+    checkpoint_size * task_count.div_ceil(checkpoint_size).div_ceil(max_ranges).max(1)
 }
 
 /// The maximum size, in bytes, of a checkpoint of `size` tasks.
--- a/src/transport/event_loop.rs
+++ b/src/transport/event_loop.rs
@@ -7,6 +7,7 @@
 use crate::config::{Settings, Workers};
 use crate::controller::Controller;
 use crate::effects::{Action, Event, Instant};
+use crate::protocol::time::duration_from_secs;
 use mio::{Events, Poll, Token};
 use std::io;
 use std::path::PathBuf;
@@ -40,7 +41,7 @@
 /// Returns the time between two ticks of the controller.
 fn tick_interval(workers: &Workers) -> Duration {
     let tick_s = workers.heartbeat_interval_s / TICKS_PER_HEARTBEAT;
-    Duration::from_secs_f64(tick_s.clamp(MIN_TICK_S, MAX_TICK_S))
+    duration_from_secs(tick_s.clamp(MIN_TICK_S, MAX_TICK_S))
 }
 
 /// The controller, its connections, and the time of the next tick.
@@ -61,7 +62,7 @@
     fn new(settings: Settings, operator_path: Option<PathBuf>, poll: Poll, listeners: Listeners) -> EventLoop {
         let workers = &settings.deployment.workers;
         let tick_interval = tick_interval(workers);
-        let heartbeat_interval = Duration::from_secs_f64(workers.heartbeat_interval_s);
+        let heartbeat_interval = duration_from_secs(workers.heartbeat_interval_s);
         let operator_file =
             operator_path.map(|path| OperatorFile::new(path, settings.deployment.teams.clone(), heartbeat_interval));
         tracing::info!(member = %settings.member, others = settings.peers.len(), "controller started");
--- a/src/transport/network.rs
+++ b/src/transport/network.rs
@@ -6,6 +6,7 @@
 use super::peers::PeerConnection;
 use crate::config::Settings;
 use crate::effects::{Action, Event, Instant, NoAnswer, Target};
+use crate::protocol::time::duration_from_secs;
 use crate::protocol::{MAX_BODY_BYTES, peer};
 use mio::net::TcpStream;
 use mio::{Interest, Poll, Token};
@@ -95,8 +96,8 @@
             inbound_peers: 0,
             max_inbound_peers: limits.max_connections / PEER_SOCKETS_DIVISOR,
             response_limit: (limits.ram_mb * BYTES_PER_MB) as usize / RESPONSE_LIMIT_DIVISOR,
-            request_timeout: Duration::from_secs_f64(workers.heartbeat_interval_s * 2.0),
-            idle_timeout: Duration::from_secs_f64(workers.lease_s * 2.0),
+            request_timeout: duration_from_secs(workers.heartbeat_interval_s * 2.0),
+            idle_timeout: duration_from_secs(workers.lease_s * 2.0),
             events: VecDeque::new(),
         }
     }
--- a/tests/limits/mod.rs
+++ b/tests/limits/mod.rs
@@ -1,6 +1,8 @@
 //! Limits that a cluster of thousands of machines reaches, tested on a smaller scale: pages, bursts
 //! and messages are scaled down, the controllers are unchanged (`docs/notes/limits.md`).
 
+mod numbers;
+
 use crate::world::cloud::PagedList;
 use crate::world::helpers::running;
 use crate::world::{SMALL, Size, World, bytes, s, service};
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -37,6 +37,8 @@
     pub most: usize,
     /// The zones in which machines can be rented.
     pub zones: Vec<&'static str>,
+    /// Machine types in the catalog beside `std`.
+    pub more_types: Vec<Value>,
     /// How long machines take to boot in seconds, if it is not what the catalog says.
     pub up_after_s: Option<f64>,
     /// Machines that were returned: when, and which.
@@ -112,7 +114,8 @@
             ("GET", "/catalog") => {
                 let machine_type = cbor!({"label" => "std", "cores" => 8, "gpus" => 4, "mem_gb" => 32, "local_gb" => 60,
                     "pull_gb_per_s" => 1.0, "hourly" => 0.4, "spot_price" => 0.1, "startup_s" => BOOT_S, "sites" => self.zones.clone()});
-                (200, bytes(&cbor!({"builds" => [machine_type.unwrap()]}).unwrap()))
+                let types: Vec<Value> = self.more_types.iter().cloned().chain(machine_type).collect();
+                (200, bytes(&cbor!({"builds" => types}).unwrap()))
             }
             ("POST", "/hosts") => {
                 let request_id = text(body, "charter");
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -34,7 +34,7 @@
     CloseQuery(String),
     /// A query by `World::ask`, to this controller.
     Test(String, usize),
-    /// A request that must be refused with this status.
+    /// A request that must get this status.
     Invalid(String, u16),
 }
 
@@ -276,6 +276,22 @@
         self.schedule_after(2.0, WorldEvent::Timeout(conn));
     }
 
+    /// Submits a job like `job` with other values in some fields to a controller, which must
+    /// answer with this status unless it refuses all requests.
+    pub fn submit_fields(&mut self, node: usize, uid: &str, job: Job, fields: &[(&str, Value)], expected: u16) {
+        let mut body = submission(uid, &job);
+        for (name, value) in fields {
+            let entries = body.as_map_mut().unwrap().iter_mut();
+            entries.filter(|(key, _)| key.as_text() == Some(name)).for_each(|entry| entry.1 = value.clone());
+        }
+        let amount = |name| get(&body, name).and_then(Value::as_float).unwrap_or_default();
+        let (cores, gpus) = (amount("cores"), amount("gpus"));
+        self.jobs.insert(uid.to_string(), Job { submitted: true, cores, gpus, ..job });
+        let source = Source::User(Asked::Invalid(uid.to_string(), expected));
+        let conn = self.send_request(node, source, "POST", "/work", bytes(&body), false);
+        self.schedule_after(5.0, WorldEvent::Timeout(conn));
+    }
+
     /// Queries the status of a job at this controller. `asked` holds the status of the answer.
     pub fn ask(&mut self, uid: &str, node: usize) {
         self.asked.insert((uid.to_string(), node), 0);
