Service levels take no more memory with each new class

Cause: three histograms were kept for each class of jobs since the process started, and users name classes as they like, so memory grew with every new name.

Change: classes of the objectives are always told apart, others as far as a sixteenth of ram_mb allows; the rest counts as one class.

Evidence: classes_beyond_the_memory_count_as_one, with the guard taken out: 1001 classes. Why it works: the number of entries follows from the memory, not from the jobs.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -185,7 +185,7 @@
             autoscaler: Autoscaler::default(),
             releases: Releases::new(),
             maintenance: Maintenance::default(),
-            service_levels: ServiceLevels::new(Objectives::new(platform.objectives.clone())),
+            service_levels: ServiceLevels::new(platform),
             api: Api::default(),
             config,
         }
--- a/src/controller/service_levels.rs
+++ b/src/controller/service_levels.rs
@@ -3,6 +3,7 @@
 #![warn(missing_docs)]
 
 use super::*;
+use crate::config::DeploymentSettings;
 use crate::placement::MachineCapacity;
 use crate::protocol::user::JobSpec;
 use crate::state::Job;
@@ -37,12 +38,17 @@
 /// the fleet started empty.
 const EMPTY_FLEET_BOOTS: f64 = 0.5;
 
+/// The part of the controller's memory that the counts by class may take.
+const COUNTS_MEMORY_SHARE: f64 = 1.0 / 16.0;
+
 impl ServiceLevels {
     /// Creates the state before any job has ended.
-    pub(super) fn new(objectives: Objectives) -> ServiceLevels {
+    pub(super) fn new(settings: &DeploymentSettings) -> ServiceLevels {
+        let known_classes = settings.objectives.iter().filter_map(|objective| objective.class.as_deref());
+        let max_bytes = settings.machine_limits.memory_share(COUNTS_MEMORY_SHARE);
         ServiceLevels {
-            objectives,
-            served: ServiceLevelCounts::default(),
+            objectives: Objectives::new(settings.objectives.clone()),
+            served: ServiceLevelCounts::with_limit(known_classes, max_bytes),
             fleet_since_ms: None,
             fleet_started_empty: false,
             counted_missed: BTreeSet::new(),
--- a/src/state/service_levels.rs
+++ b/src/state/service_levels.rs
@@ -34,6 +34,12 @@
     Largest(String),
 }
 
+/// The class under which jobs count once there are too many classes to tell apart.
+const OTHER_CLASSES: &str = "(other classes)";
+/// Upper bound of the memory for the sizes of the jobs of one class: three histograms of numbers
+/// of up to 64 bits, and a copy of them while the service levels are computed.
+const MAX_CLASS_BYTES: usize = 3 * 2 * 64 * 1024;
+
 /// Histograms of the sizes of the jobs of a class: number of tasks, cores and memory, each in
 /// thousandths.
 #[derive(Debug, Clone)]
@@ -114,29 +120,67 @@
     in_time: u32,
 }
 
+/// The sizes of jobs by class, for a limited number of classes: users name classes as they like.
+#[derive(Debug, Clone)]
+struct ClassSizes {
+    by_class: BTreeMap<String, JobSizes>,
+    /// The number of classes that are told apart. Jobs of further classes count as one class.
+    max_classes: usize,
+}
+
+impl ClassSizes {
+    /// The class under which a job of this class counts.
+    fn counted_class<'a>(&self, class: &'a str) -> &'a str {
+        let is_counted = self.by_class.contains_key(class) || self.by_class.len() < self.max_classes;
+        if is_counted { class } else { OTHER_CLASSES }
+    }
+
+    /// Adds a job to the sizes of its class.
+    fn record(&mut self, spec: &JobSpec) {
+        let class = self.counted_class(&spec.class).to_string();
+        self.by_class.entry(class).or_insert_with(JobSizes::new).record(spec);
+    }
+
+    /// The groups that a job belongs to.
+    fn groups(&self, spec: &JobSpec) -> Vec<JobGroup> {
+        let class = self.counted_class(&spec.class);
+        let mut groups = vec![JobGroup::Class(class.into()), JobGroup::Team(spec.team.clone())];
+        if self.by_class.get(class).is_some_and(|sizes| sizes.is_large(spec)) {
+            groups.push(JobGroup::Largest(class.into()));
+        }
+        groups
+    }
+}
+
 /// Counts of the jobs that ended since this process started, by group.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ServiceLevelCounts {
     ended: BTreeMap<JobGroup, EndedCount>,
-    /// The sizes of these jobs, by class.
-    sizes: BTreeMap<String, JobSizes>,
+    /// The sizes of these jobs.
+    sizes: ClassSizes,
+}
+
+impl Default for ServiceLevelCounts {
+    /// Counts that tell any number of classes apart.
+    fn default() -> ServiceLevelCounts {
+        ServiceLevelCounts::with_limit([], usize::MAX)
+    }
 }
 
 impl ServiceLevelCounts {
-    /// The groups that a job belongs to.
-    fn groups(sizes: &BTreeMap<String, JobSizes>, spec: &JobSpec) -> Vec<JobGroup> {
-        let mut groups = vec![JobGroup::Class(spec.class.clone()), JobGroup::Team(spec.team.clone())];
-        if sizes.get(&spec.class).is_some_and(|class_sizes| class_sizes.is_large(spec)) {
-            groups.push(JobGroup::Largest(spec.class.clone()));
-        }
-        groups
+    /// Counts in at most `max_bytes` of memory, as far as the `known_classes` allow that: these
+    /// are always told apart.
+    pub fn with_limit<'a>(known_classes: impl IntoIterator<Item = &'a str>, max_bytes: usize) -> ServiceLevelCounts {
+        let known = known_classes.into_iter().map(|class| (class.to_string(), JobSizes::new()));
+        let sizes = ClassSizes { by_class: known.collect(), max_classes: max_bytes / MAX_CLASS_BYTES };
+        ServiceLevelCounts { ended: BTreeMap::new(), sizes }
     }
 
     /// Records a job with an objective that has ended or has missed it. The caller records each
     /// job once.
     pub fn record(&mut self, spec: &JobSpec, in_time: bool) {
-        self.sizes.entry(spec.class.clone()).or_insert_with(JobSizes::new).record(spec);
-        for group in ServiceLevelCounts::groups(&self.sizes, spec) {
+        self.sizes.record(spec);
+        for group in self.sizes.groups(spec) {
             let count = self.ended.entry(group).or_default();
             count.judged += 1;
             count.in_time += u32::from(in_time);
@@ -154,10 +198,10 @@
         let live: Vec<&Job> = jobs.filter(|job| !job.cancelled()).collect();
         let mut sizes = self.sizes.clone();
         for job in &live {
-            sizes.entry(job.spec.class.clone()).or_insert_with(JobSizes::new).record(&job.spec);
+            sizes.record(&job.spec);
         }
         for job in live {
-            for group in ServiceLevelCounts::groups(&sizes, &job.spec) {
+            for group in sizes.groups(&job.spec) {
                 add_live_job(tallies.entry(group).or_default(), job, now_ms);
             }
         }
--- a/src/state/service_levels/tests.rs
+++ b/src/state/service_levels/tests.rs
@@ -55,3 +55,25 @@
     let services = ServiceTally { replicas: 10, placed: 4, live: 10, not_started: 2, ..ServiceTally::default() };
     assert_eq!(services.least_share(), Some(0.4), "the smallest share counts");
 }
+
+/// Users name classes as they like. With a class of its own for each job, the sizes by class took more
+/// memory with each job that ended, until the controller was killed.
+#[test]
+fn classes_beyond_the_memory_count_as_one() {
+    let max_classes = 5;
+    let mut served = ServiceLevelCounts::with_limit(["scores"], max_classes * MAX_CLASS_BYTES);
+    for n in 0..1_000 {
+        served.record(&spec(&format!("class-{n}"), "risk"), n % 2 == 0);
+    }
+    served.record(&spec("scores", "risk"), true);
+    let tallies = served.tallies(std::iter::empty(), 0);
+    let judged = |class: &str| tallies.get(&JobGroup::Class(class.into())).map(|tally| tally.judged);
+    assert!(served.sizes.by_class.len() <= max_classes + 1, "{} classes", served.sizes.by_class.len());
+    assert_eq!((judged("scores"), judged("class-0"), judged("class-900")), (Some(1), Some(1), None));
+    assert_eq!(judged(OTHER_CLASSES), Some(1_000 - (max_classes as u32 - 1)), "no job is left out");
+    assert_eq!(tallies[&JobGroup::Team("risk".into())].judged, 1_001);
+    let largest = JobSpec { cores: f64::MAX, mem_gb: f64::MAX, ..spec("scores", "risk") };
+    served.record(&largest, true);
+    let sizes = &served.sizes.by_class["scores"];
+    assert!(2 * sizes.0.iter().map(|histogram| histogram.distinct_values() * 8).sum::<usize>() <= MAX_CLASS_BYTES);
+}
