Pushed commands are forgotten once they cannot be derived again

Cause: commands pushed to an agent were remembered until its next epoch, so that they are not pushed twice: memory grew with every task started by a push.

Change: a command is forgotten once its attempt is neither reported nor recorded for the machine, since it is not derived any more.

Evidence: pushed_commands_are_remembered_as_long_as_they_can_be_derived, with the guard taken out: 2 commands in place of 1 after the second task.

--- a/src/controller/agents/reconciliation.rs
+++ b/src/controller/agents/reconciliation.rs
@@ -142,6 +142,7 @@
         self.machine.running_since.retain(|key, _| is_kept(key));
         self.machine.preempted.retain(|key, _| is_kept(key) && is_live(&key.0));
         self.machine.proven_ended.retain(is_kept);
+        self.machine.prune_pushed(is_kept);
     }
 
     /// Records that attempts are gone which shall not run here and are proved to be absent.
--- a/src/coordination/machine/commands.rs
+++ b/src/coordination/machine/commands.rs
@@ -8,6 +8,7 @@
 use crate::protocol::worker::{Command, TaskId};
 use crate::reconciliation::difference::{ObservedState, RecordedState, Remedy, compare};
 use crate::state::PlacedTasks;
+use std::collections::BTreeSet;
 
 /// The largest number of commands in one message. It keeps the message below the limit on the
 /// size of a request's body.
@@ -96,6 +97,13 @@
         self.pushed.clear();
     }
 
+    /// Forgets the pushed commands about attempts that are neither in the newest report nor
+    /// recorded here, as `is_recorded` tells. Such commands are not derived again.
+    pub fn prune_pushed(&mut self, is_recorded: impl Fn(&AttemptKey) -> bool) {
+        let observed: BTreeSet<AttemptKey> = self.tasks.iter().map(ObservedTask::key).collect();
+        self.pushed.retain(|pushed| observed.contains(&pushed.attempt) || is_recorded(&pushed.attempt));
+    }
+
     /// Selects the commands to push now: starts and kills that were not pushed before. There are
     /// none while a push is in flight or the agent has not confirmed the current token.
     pub fn select_pushes(&mut self, commands: Vec<Command>) -> Vec<Command> {
--- a/src/coordination/machine/tests.rs
+++ b/src/coordination/machine/tests.rs
@@ -313,3 +313,24 @@
     m.observe_report(true, Duration::ZERO);
     assert_eq!(are_final(&m), [true, true]);
 }
+
+/// What was pushed to an agent was remembered as long as the agent ran, so that the controller's
+/// memory grew with every task that it started.
+#[test]
+fn pushed_commands_are_remembered_as_long_as_they_can_be_derived() {
+    let mut m = Machine::new(1, 1, 1, Duration::ZERO);
+    for n in 0..1_000u64 {
+        let (task, placed) = (format!("run-{n}/0"), places(&[(&format!("run-{n}"), 0, 1)]));
+        m.apply_report(&report((1, 2 * n + 1), m.token(), &[]));
+        let run = m.select_pushes(m.commands(&placed, &placed));
+        assert_eq!(run, [Command::Run { task: task.clone(), attempt: 1 }]);
+        m.prune_pushed(|(job, index, _)| placed.contains_key(&(job.clone(), *index)));
+        assert!(m.select_pushes(m.commands(&placed, &placed)).is_empty(), "it was pushed already");
+        m.apply_report(&report((1, 2 * n + 2), m.token(), &[(&task, 1, TaskState::Running)]));
+        m.prune_pushed(|_| false);
+        assert_eq!(m.pushed.len(), 1, "it is on the machine");
+    }
+    m.apply_report(&report((1, 9_999), m.token(), &[]));
+    m.prune_pushed(|_| false);
+    assert!(m.pushed.is_empty());
+}
