A round lists no more of a job's waiting tasks than its window

Cause: the waiting tasks of all jobs were listed at once, up to 100,000 for each, though a round considers no more than the window of each priority.

Change: the list of an array or service is cut to the window before the next job's is made.

Evidence: a_job_takes_part_in_a_round_with_the_tasks_of_the_window, with the guard taken out: 100000 tasks in place of 500. Gangs stay whole, and their lists are still in memory at once.

--- a/src/controller/scheduler/starts.rs
+++ b/src/controller/scheduler/starts.rs
@@ -52,7 +52,7 @@
             return None;
         }
         let tasks = self.startable_tasks(round, uid, job, queued);
-        let tasks = limits.admit_within_quota(&job.spec, tasks);
+        let mut tasks = limits.admit_within_quota(&job.spec, tasks);
         if tasks.is_empty() {
             return None;
         }
@@ -61,6 +61,8 @@
         let run_s = spec.estimated_run_s * OPTIMISTIC_RUN_SHARE;
         let deadline_s = round.objectives.next_completion_limit_s(spec, age_s, run_s);
         let waited_s = queued.waited(round.now).unwrap_or_default().as_secs_f64();
+        let waiting_for_image = limits.images.tasks_to_keep_waiting(spec, tasks.len(), waited_s);
+        limit_to_window(&mut tasks, spec, round.settings.operator.window);
         Some(WaitingJob {
             spec,
             waited_s,
@@ -70,7 +72,7 @@
             start_within_s: round.objectives.start_limit_s(spec),
             misses_start_objective: false,
             end_objective_s: deadline_s,
-            waiting_for_image: limits.images.tasks_to_keep_waiting(spec, tasks.len(), waited_s),
+            waiting_for_image,
             tasks,
         })
     }
@@ -97,6 +99,15 @@
     }
 }
 
+/// Drops the tasks beyond the window, of which no round considers more. The lists of all waiting
+/// jobs are in memory at once, and a job has up to 100,000 tasks. Gangs stay whole.
+pub(super) fn limit_to_window(tasks: &mut Vec<u32>, spec: &JobSpec, window: usize) {
+    if spec.kind != JobKind::Gang {
+        tasks.truncate(window);
+        tasks.shrink_to_fit();
+    }
+}
+
 /// Sorts spot machines first, so that on-demand machines stay free for tasks that need them, and
 /// then the fullest machines first, so that others stay empty.
 fn sort_by_preference(capacities: &mut [MachineCapacity]) {
