Changes that a watch brings are decoded one at a time

As values in memory, changes take many times the space of their encoding: a controller whose watch fell far behind could exceed its memory.

Change: each change is applied before the next one is decoded.

If a response turns out to be invalid, the changes before are applied and the state is read again, as before.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod store;
 pub mod time;
 pub mod user;
+pub mod watch;
 pub mod worker;
 
 use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
--- a/src/controller/store_sync.rs
+++ b/src/controller/store_sync.rs
@@ -4,7 +4,8 @@
 use super::*;
 use crate::coordination::store_session::SyncState;
 use crate::protocol::decode;
-use crate::protocol::store::{Condition, Lease, LeaseRequest, Op, RowPage, TxnResponse, WatchResponse};
+use crate::protocol::store::{Condition, Lease, LeaseRequest, Op, RowPage, TxnResponse, WatchEvent};
+use crate::protocol::watch::decode_watch_response;
 
 /// The session with the store, and the replica that a scan is reading from it.
 #[derive(Debug)]
@@ -257,10 +258,7 @@
     fn handle_watch_result(&mut self, result: Result<Reply, NoAnswer>) {
         self.store.session.watch_in_flight = false;
         match result {
-            Ok(reply) if reply.status == 200 => match decode::<WatchResponse>(&reply.body) {
-                Ok(changes) => self.apply_changes(changes),
-                Err(_) => self.restart_scan(),
-            },
+            Ok(reply) if reply.status == 200 => self.apply_changes(&reply.body),
             Ok(reply) if reply.status == 410 => self.restart_scan(),
             Ok(_) | Err(NoAnswer) => {}
         }
@@ -337,27 +335,36 @@
         self.follow_store();
     }
 
-    /// Applies the changes that the watch has returned to the replica.
-    fn apply_changes(&mut self, changes: WatchResponse) {
+    /// Applies the changes that the watch has returned to the replica. If the response is invalid,
+    /// the state is read again.
+    fn apply_changes(&mut self, response: &[u8]) {
         if !self.store.session.is_following() {
             return;
         }
-        for change in &changes.events {
-            // Every earlier change has been applied by now.
-            self.state.advance_to(change.version.saturating_sub(1));
-            if let (Some(key), Some(data)) = (&change.put, &change.data) {
-                self.state.put(key, data, change.version);
-                self.transactions.observe_change(key, Some(data), change.version);
-            }
-            if let Some(key) = &change.delete {
-                self.state.delete(key, change.version);
-                self.transactions.observe_change(key, None, change.version);
-            }
-        }
-        self.scheduler.request_round_if(!changes.events.is_empty());
-        self.state.advance_to(changes.revision);
+        let mut is_changed = false;
+        let revision = decode_watch_response(response, |change| {
+            is_changed = true;
+            self.apply_change(&change);
+        });
+        let Ok(revision) = revision else { return self.restart_scan() };
+        self.scheduler.request_round_if(is_changed);
+        self.state.advance_to(revision);
         self.store.session.record_revision(self.state.revision);
         self.resolve_transactions(false);
         self.replica_changed();
     }
+
+    /// Applies one change that the watch has returned.
+    fn apply_change(&mut self, change: &WatchEvent) {
+        // Every earlier change has been applied by now.
+        self.state.advance_to(change.version.saturating_sub(1));
+        if let (Some(key), Some(data)) = (&change.put, &change.data) {
+            self.state.put(key, data, change.version);
+            self.transactions.observe_change(key, Some(data), change.version);
+        }
+        if let Some(key) = &change.delete {
+            self.state.delete(key, change.version);
+            self.transactions.observe_change(key, None, change.version);
+        }
+    }
 }
