A watch that brings too much for the memory is replaced by a scan

Change: such a call ends with status 413, and the watch is then replaced by a scan, whose pages are small.

Evidence, with the change taken out: a_response_that_is_too_large_ends_the_call_with_a_status: Err(NoAnswer); a_watch_that_brings_too_much_is_replaced_by_a_scan: the controller answers 503 in place of 200.

--- a/src/controller/store_sync.rs
+++ b/src/controller/store_sync.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use crate::coordination::store_session::SyncState;
+use crate::effects::STATUS_TOO_LARGE;
 use crate::protocol::decode;
 use crate::protocol::store::{Condition, Lease, LeaseRequest, Op, RowPage, TxnResponse, WatchEvent};
 use crate::protocol::watch::decode_watch_response;
@@ -16,6 +17,8 @@
     snapshot: ClusterState,
 }
 
+/// Status of a watch whose revision is too old for the store.
+const STATUS_GONE: u16 = 410;
 /// How often a lease is renewed within its time to live.
 const RENEWALS_PER_LEASE: u32 = 4;
 /// Heartbeat intervals after which the replica has to be proved fresh again.
@@ -259,7 +262,8 @@
         self.store.session.watch_in_flight = false;
         match result {
             Ok(reply) if reply.status == 200 => self.apply_changes(&reply.body),
-            Ok(reply) if reply.status == 410 => self.restart_scan(),
+            // A scan reads the state in pages of limited size.
+            Ok(reply) if matches!(reply.status, STATUS_GONE | STATUS_TOO_LARGE) => self.restart_scan(),
             Ok(_) | Err(NoAnswer) => {}
         }
     }
--- a/src/effects.rs
+++ b/src/effects.rs
@@ -64,6 +64,10 @@
     },
 }
 
+/// Status code of a message whose body is too large. A call whose response has a larger body than
+/// fits into memory ends with it.
+pub const STATUS_TOO_LARGE: u16 = 413;
+
 /// The response to a call.
 #[derive(Debug)]
 pub struct Reply {
--- a/src/transport/calls.rs
+++ b/src/transport/calls.rs
@@ -4,7 +4,7 @@
 use super::connection::{Connection, Role};
 use super::http::{self, Parsed};
 use super::network::Network;
-use crate::effects::{CallId, Event, Instant, NoAnswer, Reply, Target};
+use crate::effects::{CallId, Event, Instant, NoAnswer, Reply, STATUS_TOO_LARGE, Target};
 use mio::net::TcpStream;
 use std::collections::VecDeque;
 
@@ -104,7 +104,7 @@
     }
 
     /// Handles a response once it has been received completely. A malformed response closes
-    /// the connection.
+    /// the connection, and so does one that is too large, whose call ends with a status of its own.
     pub(super) fn read_response(&mut self, token: usize) {
         let now = self.now();
         let Some(connection) = self.connections.get_mut(&token) else {
@@ -118,6 +118,13 @@
         }
         match http::parse_response(&connection.read_buffer, self.response_limit) {
             Parsed::Partial => {}
+            Parsed::Invalid(STATUS_TOO_LARGE) => {
+                if let Some(id) = call.take() {
+                    let reply = Reply { status: STATUS_TOO_LARGE, body: Vec::new() };
+                    self.events.push_back(Event::CallEnded { id, result: Ok(reply) });
+                }
+                self.close(token);
+            }
             Parsed::Invalid(_) => self.close(token),
             Parsed::Complete(response, _) => {
                 let (target, id) = (*target, call.take());
--- a/src/transport/http.rs
+++ b/src/transport/http.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 messages in byte buffers: parsing and writing of requests and responses.
 //! Bodies have a `Content-Length`; transfer encodings are not supported.
 
+use crate::effects::STATUS_TOO_LARGE;
 use std::io::Write;
 
 /// Maximum number of headers of a message.
@@ -91,7 +92,7 @@
         Err(status) => return Parsed::Invalid(status),
     };
     if headers.body_len > body_limit {
-        return Parsed::Invalid(413);
+        return Parsed::Invalid(STATUS_TOO_LARGE);
     }
     let body_end = body_start + headers.body_len;
     if buffer.len() < body_end {
@@ -118,7 +119,8 @@
     };
     let headers = match read_headers(head.headers, head.version.unwrap_or(0)) {
         Ok(headers) if headers.body_len <= body_limit => headers,
-        _ => return Parsed::Invalid(502),
+        Ok(_) => return Parsed::Invalid(STATUS_TOO_LARGE),
+        Err(_) => return Parsed::Invalid(502),
     };
     let body_end = body_start + headers.body_len;
     if buffer.len() < body_end {
--- a/src/transport/tests.rs
+++ b/src/transport/tests.rs
@@ -4,7 +4,7 @@
 use super::network::Network;
 use super::operator_file::OperatorFile;
 use crate::config::Settings;
-use crate::effects::{Action, CallId, Event, Target};
+use crate::effects::{Action, CallId, Event, STATUS_TOO_LARGE, Target};
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll};
 use std::io::{Read, Write};
@@ -194,3 +194,25 @@
         open_streams.push(worker);
     }
 }
+
+/// A controller whose watch had fallen far behind got a response that was too large to be read, as
+/// if it had got none, and asked for the same again and again. Such a call ends with a status.
+#[test]
+fn a_response_that_is_too_large_ends_the_call_with_a_status() {
+    let mut network = test_network();
+    let worker = listening_workers(1).remove(0);
+    call_worker(&mut network, 1, &worker);
+    drive_until(&mut network, |network| {
+        network.connections.values().all(|connection| connection.connected && connection.write_buffer.is_empty())
+    });
+    let (mut stream, _) = worker.accept().expect("no connection to the worker");
+    let length = network.response_limit + 1;
+    stream.write_all(format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n").as_bytes()).unwrap();
+    drive_until(&mut network, |network| !network.events.is_empty());
+    let ended: Vec<Event> = std::mem::take(&mut network.events).into_iter().collect();
+    assert!(
+        matches!(&ended[..], [Event::CallEnded { id: 1, result: Ok(reply) }] if reply.status == STATUS_TOO_LARGE),
+        "{ended:?}"
+    );
+    assert!(network.connections.is_empty(), "the rest of the response is not read");
+}
--- a/tests/limits/mod.rs
+++ b/tests/limits/mod.rs
@@ -4,8 +4,8 @@
 mod numbers;
 
 use crate::world::cloud::PagedList;
-use crate::world::helpers::running;
-use crate::world::{SMALL, Size, World, bytes, s, service};
+use crate::world::helpers::{done, running};
+use crate::world::{Job, SMALL, Size, World, array, bytes, s, service};
 use ciborium::cbor;
 use finchquay::effects::{Action, Event};
 use finchquay::protocol::peer::{self, Frame};
@@ -74,3 +74,27 @@
     }
     assert_eq!(heartbeats, 2, "one peer heartbeat goes to each of the other controllers");
 }
+
+/// Guards against a controller that never follows the store again: what its watch brings is too large
+/// for its memory, so it reads the state in pages, and goes on from there.
+#[test]
+fn a_watch_that_brings_too_much_is_replaced_by_a_scan() {
+    let mut w = World::sized(73, SMALL);
+    w.run_until(10.0);
+    // One controller falls behind by more changes than it can read at once.
+    w.store.mute.insert(1);
+    let revision = w.store.revision();
+    for n in 0..20 {
+        w.submit(&format!("run-{n:02}1"), Job { via: Some(0), ..array(1, 2.0) });
+    }
+    w.run_until(24.0);
+    let missed = w.store.changes("", revision);
+    assert!(missed > 20, "{missed} changes were missed");
+    w.store.most_changes = Some(missed / 2);
+    w.store.mute.clear();
+    w.run_until(40.0);
+    w.ask("run-001", 1);
+    w.run_until(44.0);
+    assert!(done(&w, "run-001"));
+    assert_eq!(w.asked[&("run-001".to_string(), 1)], 200, "the controller does not know the job");
+}
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -4,6 +4,7 @@
 
 use super::{bytes, get, number, text};
 use ciborium::{Value, cbor};
+use finchquay::effects::STATUS_TOO_LARGE;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -42,6 +43,8 @@
     pub mute: BTreeSet<usize>,
     /// Controllers whose next watch is refused with status 410, as its revision is too old.
     pub forgets: BTreeSet<usize>,
+    /// The number of changes above which the response to a watch is too large for a controller.
+    pub most_changes: Option<usize>,
     held_transactions: Vec<Value>,
     /// Puts and deletes admitted per second, with bursts of one second's worth.
     pub write_rps: f64,
@@ -107,7 +110,12 @@
         let due = |w: &Watch| (w.after < revision || w.until <= now) && !self.mute.contains(&w.node);
         let (due, rest): (Vec<Watch>, Vec<Watch>) = std::mem::take(&mut self.watches).into_iter().partition(due);
         self.watches = rest;
-        due.into_iter().map(|w| (w.node, w.id, 200, self.encode_changes(w.after))).collect()
+        let is_too_large = |w: &Watch| self.most_changes.is_some_and(|most| self.changes("", w.after) > most);
+        let answer = |w: Watch| match is_too_large(&w) {
+            true => (w.node, w.id, STATUS_TOO_LARGE, Vec::new()),
+            false => (w.node, w.id, 200, self.encode_changes(w.after)),
+        };
+        due.into_iter().map(answer).collect()
     }
 
     /// Returns the answer to a watch: all changes after a revision.
