A large socket limit no longer overflows the connections of users

Cause: three quarters of the limit were computed as a product that can overflow.

Change: a quarter is subtracted instead; the result is the same for every limit.

Evidence: any_socket_limit_is_divided_without_overflow on the code before: attempt to multiply with overflow.

--- a/src/transport/network.rs
+++ b/src/transport/network.rs
@@ -20,6 +20,9 @@
 /// The machine's socket limit divided by this is the number of sockets that are reserved for
 /// the listeners and for connections that are accepted before they are counted.
 const RESERVED_SOCKETS_DIVISOR: usize = 16;
+/// The machine's socket limit divided by this is the number of sockets that users and workers
+/// do not get.
+const UNSERVED_SOCKETS_DIVISOR: usize = 4;
 /// The machine's socket limit divided by this is the maximum number of accepted connections
 /// of peers.
 const PEER_SOCKETS_DIVISOR: usize = 16;
@@ -89,7 +92,7 @@
             store_address: settings.external.state,
             cloud_address: settings.external.cloud,
             server_connections: 0,
-            max_server_connections: limits.max_connections * 3 / 4,
+            max_server_connections: limits.max_connections - limits.max_connections.div_ceil(UNSERVED_SOCKETS_DIVISOR),
             max_connections: limits.max_connections - limits.max_connections / RESERVED_SOCKETS_DIVISOR,
             inbound_peers: 0,
             max_inbound_peers: limits.max_connections / PEER_SOCKETS_DIVISOR,
--- a/src/transport/tests.rs
+++ b/src/transport/tests.rs
@@ -38,13 +38,18 @@
 
 /// Returns a network without connections, with the limits of a small machine.
 fn test_network() -> Network {
+    network_with_sockets(SOCKETS)
+}
+
+/// Returns a network without connections, on a machine with this socket limit.
+fn network_with_sockets(sockets: usize) -> Network {
     let text = format!(
         "member = \"perch-0\"\nzone = \"z\"\npublic_addr = \"127.0.0.1:0\"\npeer_bind = \"127.0.0.1:0\"\n\
          [outside]\ncloud = \"127.0.0.1:9\"\nstate = \"127.0.0.1:9\"\n[settings]\nzones = [\"z\"]\n\
          [settings.workers]\nreport_s = 2.0\nlease_s = 18.0\ngang_wait_s = 40.0\ngang_peer_s = 4.0\ncancel_s = 48.0\n\
          [settings.state]\nrps = 200.0\nwrite_rps = 80.0\nvalue_kb = 8.0\ntxn_ops = 32\n\
          [settings.cloud]\nrps = 3.0\nlist_lag_s = 8.0\n\
-         [settings.machine_limits]\ncore_share = 0.08\nram_mb = 56.0\nmax_connections = {SOCKETS}\n"
+         [settings.machine_limits]\ncore_share = 0.08\nram_mb = 56.0\nmax_connections = {sockets}\n"
     );
     let settings = Settings::parse(&text, Path::new("settings.toml")).unwrap();
     Network::new(&settings, Poll::new().unwrap())
@@ -216,3 +221,13 @@
     );
     assert!(network.connections.is_empty(), "the rest of the response is not read");
 }
+
+/// A socket limit as large as the settings accept overflowed the number of connections of users and
+/// workers, which became arbitrary.
+#[test]
+fn any_socket_limit_is_divided_without_overflow() {
+    for sockets in [16, 17, 18, 19, 800, i64::MAX as usize] {
+        let network = network_with_sockets(sockets);
+        assert_eq!(network.max_server_connections as u128, sockets as u128 * 3 / 4, "{sockets}");
+    }
+}
