--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -20,7 +20,7 @@
 
 pub fn run(case: &str, context: &Context) -> Outcome {
     match case {
-        "faulty-machine" => faulty_machine(context),
+        "ended-jobs" => ended_jobs(context),
         "broken-job" => broken_job(context),
         "apart-gang" => apart_gang(context),
         "small-tasks" => small_tasks(context),
@@ -332,30 +332,65 @@
     }
 }
 
-/// A machine fails every task that it starts. A job that was given to its controller is tried there again and
-/// again, while the machines of the other controllers are idle.
-fn faulty_machine(context: &Context) -> Outcome {
-    let cluster = context.start(returns_site());
-    let names: Vec<String> =
-        (0..3).map(|n| cluster.cloud.add_running("kutaisi-small", "tbilisi-dc", false, n)).collect();
+/// The service has run for weeks, and keeps the ends of all jobs, when its controllers are restarted: each of them
+/// goes over its memory while it reads them, and is killed.
+fn ended_jobs(context: &Context) -> Outcome {
+    let site = returns_site();
+    let limit_kb = (site.ram_mb * 1024.0) as u64;
+    let mut cluster = context.start(site);
+    cluster.cloud.add_running("kutaisi-small", "tbilisi-dc", false, 0);
     cluster.wait_healthy(20.0)?;
-    let owners = wait_for_owners(&cluster, &names, 20.0)?;
-    let leader = cluster.leader().ok_or("no leader")?;
-    let faulty = owners.iter().position(|owner| *owner != leader).ok_or("the leader has all machines")?;
-    cluster.record.line(&format!("leader: {leader}"));
-    let worker = cluster.cloud.worker(&names[faulty]).ok_or("the machine is gone")?;
-    if context.trouble {
-        worker.make_faulty();
+    if cluster.controllers.iter().any(|controller| controller.own_memory_kb() == 0) {
+        return Err("the memory of the processes cannot be read here".into());
     }
     let uid = "run-000100".to_string();
-    cluster.submit(
-        &uid,
-        "return-assembly",
-        "preparers",
-        &batch(2, 2.0, 4.2, 3.0),
-        vec![],
-        Some(cluster.node(&owners[faulty])),
-    )?;
-    let left = wait_until_done(&cluster, std::slice::from_ref(&uid), 85.0);
-    if left.is_empty() { Ok(Ok(())) } else { Ok(Err(format!("not done: {left:?}"))) }
+    cluster.submit(&uid, "return-assembly", "preparers", &batch(1, 1.0, 4.2, 1.0), vec![], None)?;
+    if !wait_until_done(&cluster, std::slice::from_ref(&uid), 20.0).is_empty() {
+        return Err("the first job is not done".into());
+    }
+    sleep_s(1.0);
+    for node in 0..3 {
+        cluster.kill_controller(node);
+    }
+    // What the service itself stored of the job that is over is there for every job of the weeks before.
+    let jobs: u64 = if context.trouble { 1_000_000 } else { 100_000 };
+    let keys = cluster.state.keys_ending(&uid);
+    for key in &keys {
+        let prefix = key.strip_suffix(uid.as_str()).unwrap_or_default().to_string();
+        cluster.state.copy(key, (0..jobs).map(|n| format!("{prefix}run-{:07}", 1_000_000 + n)));
+    }
+    cluster.record.line(&format!("the state service holds {jobs} more jobs that are over, as {keys:?} has one"));
+    for node in 0..3 {
+        cluster.start_controller(node);
+    }
+    let begun = Instant::now();
+    let (mut killed, mut answered, mut asked) = (0, 0, 0);
+    let mut back_at: [Option<Instant>; 3] = [None; 3];
+    let mut highest = 0;
+    let mut next_poll = Instant::now();
+    while begun.elapsed().as_secs_f64() < if context.trouble { 95.0 } else { 30.0 } {
+        sleep_s(0.02);
+        for (node, back) in back_at.iter_mut().enumerate() {
+            if back.is_some_and(|at| at <= Instant::now()) {
+                *back = None;
+                cluster.start_controller(node);
+            }
+            let held_kb = cluster.controllers[node].own_memory_kb();
+            highest = highest.max(held_kb);
+            if held_kb > limit_kb {
+                cluster.record.line(&format!("{} holds {held_kb} KiB of {limit_kb}", cluster.controllers[node].member));
+                cluster.kill_controller(node);
+                killed += 1;
+                *back = Some(Instant::now() + Duration::from_secs(8));
+            }
+        }
+        if next_poll <= Instant::now() {
+            next_poll = Instant::now() + Duration::from_secs(5);
+            asked += 1;
+            answered += u32::from(cluster.poll_recorded("run-1000007").is_some());
+        }
+    }
+    let text = format!("{killed} ends for memory, {answered} of {asked} polls answered, at most {highest} KiB");
+    cluster.record.line(&text);
+    if killed == 0 && answered > 0 { Ok(Ok(())) } else { Ok(Err(text)) }
 }
--- a/review/stand-ins-2/src/cluster.rs
+++ b/review/stand-ins-2/src/cluster.rs
@@ -67,7 +67,7 @@
 
 /// Sends a signal to a process that this program started.
 pub fn signal(pid: u32, name: &str) {
-    let _ = Command::new("kill").args([format!("-{name}"), pid.to_string()]).stderr(Stdio::null()).status();
+    let _ = Command::new("sh").args(["-c", &format!("kill -{name} {pid}")]).stderr(Stdio::null()).status();
 }
 
 /// An address for a controller. The host part is this process's own, so that neither another run nor an outgoing
@@ -82,6 +82,13 @@
     pub fn pid(&self) -> u32 {
         self.child.as_ref().map_or(0, Child::id)
     }
+
+    /// The memory that the process itself holds, without the pages of files; 0 if it does not run.
+    pub fn own_memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    }
 }
 
 impl Cluster {
@@ -214,23 +221,6 @@
         }
     }
 
-    /// The controller that last logged that it was elected.
-    pub fn leader(&self) -> Option<String> {
-        let term = |log: &str| {
-            let line = log.lines().rev().find(|line| line.contains("leader elected"))?;
-            line.split("term=").nth(1)?.split(' ').next()?.parse::<u64>().ok()
-        };
-        let elected = self
-            .controllers
-            .iter()
-            .filter_map(|c| Some((term(&std::fs::read_to_string(&c.log).ok()?)?, c.member.clone())));
-        elected.max().map(|(_, member)| member)
-    }
-
-    pub fn node(&self, member: &str) -> usize {
-        self.controllers.iter().position(|c| c.member == member).unwrap_or(0)
-    }
-
     fn next_node(&self) -> usize {
         self.next_node.fetch_add(1, Ordering::SeqCst) as usize % self.controllers.len()
     }
--- a/review/stand-ins-2/src/state.rs
+++ b/review/stand-ins-2/src/state.rs
@@ -45,7 +45,7 @@
 }
 
 struct Entry {
-    data: Value,
+    data: Arc<Value>,
     revision: u64,
     lease: Option<u64>,
 }
@@ -127,7 +127,8 @@
         for op in ops {
             if let Some(key) = get(op, "put").and_then(Value::as_text) {
                 let data = get(op, "data").cloned().unwrap_or(Value::Null);
-                let entry = Entry { data: data.clone(), revision: self.revision, lease: get_int(op, "tenure") };
+                let shared = Arc::new(data.clone());
+                let entry = Entry { data: shared, revision: self.revision, lease: get_int(op, "tenure") };
                 self.data.insert(key.to_string(), entry);
                 self.log(key.to_string(), Some(data));
             } else {
@@ -149,7 +150,8 @@
             if key.as_str() <= after {
                 continue;
             }
-            let row = map(vec![("key", text(key)), ("data", entry.data.clone()), ("entry_no", int(entry.revision))]);
+            let row =
+                map(vec![("key", text(key)), ("data", Value::clone(&entry.data)), ("entry_no", int(entry.revision))]);
             size += json_len(&row) + 1;
             if rows.len() == page.min(1000) || size > MAX_PAGE_BYTES - 100 {
                 truncated = true;
@@ -221,6 +223,25 @@
         })
     }
 
+    /// Puts copies of the value of a key under other keys, as transactions long ago would have. Returns whether the
+    /// key exists.
+    pub fn copy(&self, key: &str, to: impl Iterator<Item = String>) -> bool {
+        let mut store = self.store.0.lock().unwrap();
+        let Some(data) = store.data.get(key).map(|entry| entry.data.clone()) else { return false };
+        for key in to {
+            store.revision += 1;
+            let entry = Entry { data: data.clone(), revision: store.revision, lease: None };
+            store.data.insert(key, entry);
+        }
+        true
+    }
+
+    /// The keys that end with this text.
+    pub fn keys_ending(&self, end: &str) -> Vec<String> {
+        let store = self.store.0.lock().unwrap();
+        store.data.keys().filter(|key| key.ends_with(end)).cloned().collect()
+    }
+
     /// Answers the reads of single keys of one controller late.
     pub fn set_slow_reads(&self, slow: Option<(usize, Duration)>) {
         self.store.0.lock().unwrap().slow_reads = slow;
@@ -284,8 +305,11 @@
             ("GET", _) => match path.strip_prefix("/store/") {
                 Some(key) => match store.data.get(key) {
                     Some(entry) => {
-                        let mut body =
-                            vec![("key", text(key)), ("data", entry.data.clone()), ("entry_no", int(entry.revision))];
+                        let mut body = vec![
+                            ("key", text(key)),
+                            ("data", Value::clone(&entry.data)),
+                            ("entry_no", int(entry.revision)),
+                        ];
                         body.extend(entry.lease.map(|lease| ("tenure", int(lease))));
                         Some((200, Some(map(body))))
                     }
--- a/review/stand-ins-2/src/worker.rs
+++ b/review/stand-ins-2/src/worker.rs
@@ -126,8 +126,6 @@
     world: Arc<World>,
     inner: Mutex<Inner>,
     up: AtomicBool,
-    /// It fails every task that it starts.
-    faulty: AtomicBool,
     at: Mutex<String>,
 }
 
@@ -154,7 +152,6 @@
             world: world.clone(),
             inner: Mutex::new(inner),
             up: AtomicBool::new(true),
-            faulty: AtomicBool::new(false),
             at: Mutex::default(),
         });
         let (server, alive) = (worker.clone(), worker.clone());
@@ -175,12 +172,6 @@
         self.up.load(Ordering::SeqCst)
     }
 
-    /// From now on the machine fails every task that it starts.
-    pub fn make_faulty(&self) {
-        self.faulty.store(true, Ordering::SeqCst);
-        self.world.record.line(&format!("{}: fails every task from now on", self.machine.name));
-    }
-
     /// The machine stops, with all that is on it.
     pub fn stop(&self) {
         self.up.store(false, Ordering::SeqCst);
@@ -401,7 +392,7 @@
                 };
                 if gang_lost.is_some_and(|at| (now - at).as_secs_f64() > times.gang_peer_s / 2.0) {
                     self.exit(inner, key, "peers");
-                } else if (job.broken || self.faulty.load(Ordering::SeqCst)) && elapsed_s > 0.2 {
+                } else if job.broken && elapsed_s > 0.2 {
                     self.exit(inner, key, "error");
                     self.world.record.line(&format!("{}: {} try {} failed", self.machine.name, key.0, key.1));
                 } else if job.form != "standing" && gang_lost.is_none() && elapsed_s > job.run_s {
