--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")" || exit 2
 program=../../target/review-2/release/stand-ins-2
 [ -x "$program" ] && [ -x ../../target/release/finchquay ] || exit 2
-"$program" faulty-machine . &
+"$program" stale-answer . &
 driver=$!
 trap 'kill -KILL "$driver" $(ps -o pid= --ppid "$driver") 2>/dev/null; exit 2' INT TERM
 wait "$driver"
