Review: the stopped controller's case notices the read of the poll itself

The script held once: it had waited for a later read than the one that the poll depends on. It now takes the first read after the poll, and makes eight attempts with services that run from the beginning. The check is as it was.

--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -293,24 +293,25 @@
         (0..3).map(|n| cluster.cloud.add_running("kutaisi-small", "tbilisi-dc", false, n)).collect();
     cluster.wait_healthy(20.0)?;
     wait_for_owners(&cluster, &names, 20.0)?;
-    let mut broken = None;
-    for round in 0..5usize {
-        let uid = format!("run-{:06}", 100 + round);
-        let mut service = batch(1, 1.0, 4.2, 0.0);
+    let uids: Vec<String> = (0..8).map(|n| format!("run-{:06}", 100 + n)).collect();
+    for uid in &uids {
+        let mut service = batch(1, 1.0, 2.0, 0.0);
         service.form = "standing".into();
-        cluster.submit(&uid, "client-pages", "intake-desk", &service, vec![], None)?;
-        cluster.wait("the service runs", 20.0, || cluster.world.started(&uid) == 1)?;
-        sleep_s(4.0);
+        cluster.submit(uid, "client-pages", "intake-desk", &service, vec![], None)?;
+    }
+    cluster.wait("the services run", 30.0, || uids.iter().all(|uid| cluster.world.started(uid) == 1))?;
+    sleep_s(4.0);
+    let mut broken = None;
+    for (round, uid) in uids.iter().enumerate() {
         let (still, other) = (round % 3, (round + 1) % 3);
         // Answers of the state service take a few hundred milliseconds now and then.
         cluster.state.set_slow_reads(Some((still, Duration::from_millis(200))));
         sleep_s(1.0);
         let (cancelled, cancelled_at, polled) = std::thread::scope(|scope| {
             let sent = Instant::now();
-            let poll = scope.spawn(|| (cluster.poll_at(&uid, still), Instant::now()));
-            // The controller has sent the read that its answer to the poll waits for.
-            std::thread::sleep(Duration::from_millis(15));
-            let asked = sent + Duration::from_millis(15);
+            let poll = scope.spawn(|| (cluster.poll_at(uid, still), Instant::now()));
+            // The controller has sent the read that its answer to the poll waits for: the first one after the poll.
+            let asked = sent + Duration::from_millis(3);
             while !cluster.state.has_read_since(still, asked) && sent.elapsed().as_millis() < 1000 {
                 std::thread::sleep(Duration::from_millis(2));
             }
@@ -318,7 +319,7 @@
                 cluster.signal(still, "STOP");
             }
             std::thread::sleep(Duration::from_millis(if context.trouble { 300 } else { 0 }));
-            let cancelled = cluster.withdraw_at(&uid, other);
+            let cancelled = cluster.withdraw_at(uid, other);
             let cancelled_at = Instant::now();
             if context.trouble {
                 std::thread::sleep(Duration::from_millis(100));
@@ -333,7 +334,7 @@
         if cancelled.as_deref() == Some("withdrawn") && is_later && is_old {
             broken = Some(format!("{uid} was reported as {:?} after it was reported cancelled", polled.0));
         }
-        sleep_s(6.0);
+        sleep_s(3.0);
     }
     match broken {
         Some(broken) => Ok(Err(broken)),
