The space in a machine's heartbeat limits its tasks

Cause: a heartbeat lists every task on its machine, and placement counted CPUs, GPUs, memory and disk, but not the space in the heartbeat. Above 64 KiB (PROTOCOL: "a request body may be at most 64 KiB") the heartbeat is answered with 413, the lease ends, and all tasks are lost. The next heartbeat is empty, and the recorded placements are commanded again.

Fix: the space in the heartbeat is a resource like memory, counted as JSON with the largest report that a task can have. Ended tasks keep it until the agent may forget them. Attempts that an earlier version placed beyond it are not commanded again but placed anew, lowest priority first. What the knapsack chose is cut to what fits.

Refused requests are logged at level debug.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -10,6 +10,7 @@
 #![cfg_attr(not(test), warn(clippy::unwrap_used, clippy::disallowed_methods))]
 
 pub mod cloud;
+pub mod heartbeat_size;
 pub mod peer;
 pub mod store;
 pub mod time;
--- a/src/controller/agents/commands.rs
+++ b/src/controller/agents/commands.rs
@@ -3,11 +3,14 @@
 use crate::config::Settings;
 use crate::controller::scheduler::is_partly_placed;
 use crate::controller::{CallPurpose, Controller};
-use crate::coordination::machine::Machine;
+use crate::coordination::machine::{Machine, ObservedTask};
 use crate::effects::{CallId, NoAnswer, Reply, Target};
 use crate::protocol::encode;
+use crate::protocol::heartbeat_size::{TASKS_BYTES, task_bytes};
+use crate::protocol::user::Priority;
 use crate::protocol::worker::{Cause, Command, CommandRequest, Heartbeat, TaskId, TaskState};
 use crate::state::{ClusterState, Job, PlacedTasks};
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -39,6 +42,11 @@
                 |machine: &Machine| machine.preempted.contains_key(&key) || machine.proven_ended.contains(&key);
             state.jobs.get(uid).is_some_and(&may_run) && !machine.is_some_and(has_stopped)
         });
+        let is_overfull =
+            || state.machine_loads.get(name).is_some_and(|load| load.total.heartbeat_bytes > TASKS_BYTES as f64);
+        if let Some(machine) = machine.filter(|machine| machine.heard_at.is_some() && is_overfull()) {
+            withdraw_unreportable(&mut wanted, machine, state);
+        }
         let mut kept = placed;
         if let Some(machine) = machine {
             keep_unstored_results(&mut kept, machine, state);
@@ -47,6 +55,30 @@
     }
 }
 
+/// Removes attempts that are not on the machine and that its heartbeat has no space for, lowest
+/// priority first. Earlier versions placed such attempts: started again after each expiry of the
+/// lease, they would exceed the limit each time.
+fn withdraw_unreportable(wanted: &mut PlacedTasks, machine: &Machine, state: &ClusterState) {
+    let reported_bytes =
+        |observed: &ObservedTask| task_bytes(&observed.task.job, observed.task.index.saturating_add(1));
+    let mut free_bytes = TASKS_BYTES.saturating_sub(machine.tasks.iter().map(reported_bytes).sum());
+    let is_absent = |(uid, index): &(String, u32), attempt| machine.find(uid, *index, attempt).is_none();
+    let mut absent: Vec<(Reverse<Priority>, String, u32)> = Vec::new();
+    for ((uid, index), _) in wanted.iter().filter(|(task, attempt)| is_absent(task, **attempt)) {
+        if let Some(job) = state.jobs.get(uid) {
+            absent.push((Reverse(job.spec.priority), uid.clone(), *index));
+        }
+    }
+    absent.sort();
+    for (_, uid, index) in absent {
+        let bytes = task_bytes(&uid, index.saturating_add(1));
+        if bytes > free_bytes {
+            wanted.remove(&(uid, index));
+        }
+        free_bytes = free_bytes.saturating_sub(bytes);
+    }
+}
+
 /// Adds the results that are shown here but not stored. A task that finished while it reached
 /// no controller counts on whichever machine its result is shown, and the agent keeps the
 /// result until it is stored.
--- a/src/controller/capacity.rs
+++ b/src/controller/capacity.rs
@@ -5,6 +5,7 @@
 use super::Controller;
 use crate::coordination::machine::Machine;
 use crate::placement::MachineCapacity;
+use crate::protocol::heartbeat_size::task_bytes;
 use crate::protocol::user::{JobKind, JobSpec};
 use crate::protocol::worker::TaskState;
 use crate::state::objectives::Objectives;
@@ -111,16 +112,24 @@
         is_there && !is_leaving && agent.cordoned_until <= self.now
     }
 
-    /// Subtracts tasks that run on the machine without being placed there. If the job of such
-    /// a task is unknown, no cores count as free.
+    /// Subtracts what the machine reports without its being placed there: the resources of tasks
+    /// that run, and the space of all attempts in the heartbeat. If the job of a task that runs is
+    /// unknown, no cores count as free.
     fn subtract_unplaced_tasks(&self, capacity: &mut MachineCapacity, agent: &Machine) {
         let placed = self.state.placed_tasks.get(&capacity.machine);
-        for reported in agent.tasks.iter().filter(|reported| reported.state != TaskState::Exited) {
+        for reported in &agent.tasks {
             let key = (reported.task.job.clone(), reported.task.index);
-            if placed.is_some_and(|placed| placed.contains_key(&key)) {
+            let placed_attempt = placed.and_then(|placed| placed.get(&key));
+            if placed_attempt == Some(&reported.attempt) {
                 continue;
             }
-            match self.state.jobs.get(&reported.task.job) {
+            let job = self.state.jobs.get(&reported.task.job);
+            if reported.state == TaskState::Exited || placed_attempt.is_some() {
+                capacity.heartbeat_bytes -=
+                    task_bytes(&reported.task.job, reported.task.index.saturating_add(1)) as f64;
+                continue;
+            }
+            match job {
                 Some(job) => capacity.take(&job.spec, 1),
                 None => capacity.cores = 0.0,
             }
@@ -132,14 +141,10 @@
         let Some(load) = self.state.machine_loads.get(&capacity.machine) else { return };
         let mut used = load.total;
         if counted == CountedTasks::ExceptArrays {
-            used.cores -= load.array_tasks.cores;
-            used.gpus -= load.array_tasks.gpus;
-            used.mem_gb -= load.array_tasks.mem_gb;
+            used.add_scaled(load.array_tasks, -1.0);
         }
         capacity.used_by_arrays = load.array_tasks;
-        capacity.cores -= used.cores;
-        capacity.gpus -= used.gpus;
-        capacity.mem_gb -= used.mem_gb;
+        capacity.subtract(&used);
         capacity.images[0] = Images::clone(&load.images);
     }
 
@@ -155,14 +160,15 @@
     }
 
     /// Adds back the capacity of tasks that have ended on the machine, so that it counts as
-    /// free at once and not only when the exit is stored.
+    /// free at once and not only when the exit is stored. Their space in the heartbeat comes free
+    /// only once the agent may forget them.
     fn add_ended_tasks(&self, capacity: &mut MachineCapacity, agent: &Machine, counted: CountedTasks) {
         let Some(placed) = self.state.placed_tasks.get(&capacity.machine) else { return };
         for (uid, index, attempt) in agent.ended_attempts() {
             let Some(job) = self.state.jobs.get(uid) else { continue };
             let is_placed = placed.get(&(uid.clone(), *index)) == Some(attempt);
             if is_placed && (counted == CountedTasks::All || job.spec.kind != JobKind::Array) {
-                capacity.release(&job.spec);
+                capacity.release_ended(&job.spec);
             }
         }
     }
--- a/src/coordination/machine/tests.rs
+++ b/src/coordination/machine/tests.rs
@@ -3,7 +3,8 @@
 
 use super::*;
 use crate::coordination::fencing_token::MAX_COUNTER;
-use crate::protocol::worker::{Command, TaskReport};
+use crate::protocol::MAX_BODY_BYTES;
+use crate::protocol::worker::{Command, CommandRequest, TaskReport};
 use crate::state::PlacedTasks;
 
 fn report(at: (u64, u64), fencing_token: u64, tasks: &[(&str, u64, TaskState)]) -> Heartbeat {
@@ -34,6 +35,26 @@
     list.iter().map(|(j, i, a)| ((j.to_string(), *i), *a)).collect()
 }
 
+/// Guards against commands that the agent refuses because the message exceeds the limit on bodies,
+/// which counts them as JSON.
+#[test]
+fn the_longest_commands_of_one_message_stay_within_the_limit() {
+    let mut m = Machine::new(1, 1, 1, Duration::ZERO);
+    let job = "run-123456789012345678";
+    let attempt = 9_999_999_999;
+    let ids: Vec<String> = (90_000..92_000).map(|index| format!("{job}/{index}")).collect();
+    let running: Vec<(&str, u64, TaskState)> =
+        ids.iter().map(|id| (id.as_str(), attempt, TaskState::Running)).collect();
+    m.apply_report(&report((1, 1), m.token(), &running));
+    for index in 90_000..92_000 {
+        m.preempted.insert((job.into(), index, attempt), f64::MIN_POSITIVE);
+    }
+    let commands = m.commands(&places(&[]), &places(&[]));
+    let request = CommandRequest { fencing_token: u64::MAX, agent_epoch: u64::MAX, commands: commands.into() };
+    let bytes = serde_json::to_vec(&request).unwrap().len();
+    assert!(bytes > MAX_BODY_BYTES / 2 && bytes <= MAX_BODY_BYTES, "{bytes} bytes");
+}
+
 /// A delayed packet may deliver an old report after a newer one. Acting on it would kill or
 /// restart tasks according to an outdated state.
 #[test]
--- a/src/placement/capacity.rs
+++ b/src/placement/capacity.rs
@@ -4,8 +4,9 @@
 
 use super::ROUNDING_TOLERANCE;
 use crate::protocol::cloud::MachineType;
+use crate::protocol::heartbeat_size::{TASKS_BYTES, task_bytes};
 use crate::protocol::user::{JobSpec, MAX_TASKS_PER_JOB};
-use crate::state::{Images, Resources};
+use crate::state::{Images, Resources, heartbeat_bytes};
 
 /// The share of a time limit within which an image fetch must be expected to end for the limit
 /// to count as met: fetch rates vary by a third, and concurrent fetches share the rate.
@@ -28,6 +29,8 @@
     pub gpus: f64,
     /// Free memory, in GB.
     pub mem_gb: f64,
+    /// Free space in the machine's heartbeat, in bytes.
+    pub heartbeat_bytes: f64,
     /// Cores of the empty machine.
     pub total_cores: f64,
     /// GPUs of the empty machine.
@@ -58,6 +61,7 @@
             cores: machine_type.cores,
             gpus: machine_type.gpus,
             mem_gb: machine_type.mem_gb,
+            heartbeat_bytes: TASKS_BYTES as f64,
             total_cores: machine_type.cores,
             total_gpus: machine_type.gpus,
             total_mem_gb: machine_type.mem_gb,
@@ -95,7 +99,8 @@
         };
         let count = quotient(self.cores + preempted.cores, spec.cores)
             .min(quotient(self.gpus + preempted.gpus, spec.gpus))
-            .min(quotient(self.mem_gb + preempted.mem_gb, spec.mem_gb));
+            .min(quotient(self.mem_gb + preempted.mem_gb, spec.mem_gb))
+            .min(quotient(self.heartbeat_bytes + preempted.heartbeat_bytes, heartbeat_bytes(spec)));
         count.min(f64::from(MAX_TASKS_PER_JOB)) as u32
     }
 
@@ -114,8 +119,11 @@
     }
 
     /// The free share of the machine's scarcest resource: free cores are not usable on a machine
-    /// whose GPUs are all in use.
+    /// whose GPUs are all in use, or whose heartbeat has no space for another task.
     pub fn free_share(&self) -> f64 {
+        if self.heartbeat_bytes < task_bytes("", 1) as f64 {
+            return 0.0;
+        }
         let share = |free: f64, total: f64| if total > 0.0 { (free / total).max(0.0) } else { 1.0 };
         share(self.cores, self.total_cores)
             .min(share(self.gpus, self.total_gpus))
@@ -151,6 +159,13 @@
 
     /// Adds the resources of one task of the job back to the free capacity.
     pub fn release(&mut self, spec: &JobSpec) {
+        self.release_ended(spec);
+        self.heartbeat_bytes += heartbeat_bytes(spec);
+    }
+
+    /// Adds the resources of one ended task of the job back to the free capacity, except for its
+    /// space in the heartbeat: the agent reports the task until it may forget it.
+    pub fn release_ended(&mut self, spec: &JobSpec) {
         self.cores += spec.cores;
         self.gpus += spec.gpus;
         self.mem_gb += spec.mem_gb;
@@ -158,8 +173,14 @@
 
     /// Removes the resources of `count` tasks of the job from the free capacity.
     pub fn take(&mut self, spec: &JobSpec, count: u32) {
-        self.cores -= spec.cores * f64::from(count);
-        self.gpus -= spec.gpus * f64::from(count);
-        self.mem_gb -= spec.mem_gb * f64::from(count);
+        self.subtract(&Resources::of_tasks(spec, f64::from(count)));
+    }
+
+    /// Removes these resources from the free capacity.
+    pub fn subtract(&mut self, used: &Resources) {
+        self.cores -= used.cores;
+        self.gpus -= used.gpus;
+        self.mem_gb -= used.mem_gb;
+        self.heartbeat_bytes -= used.heartbeat_bytes;
     }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -247,7 +247,11 @@
             steps(capacity.gpus, GPU_STEPS),
         ];
         for (id, count) in self.knapsack.solve(&groups, free) {
-            start_tasks(capacity, jobs[id], count, &mut self.starts);
+            // The knapsack does not know how much space its tasks take in the heartbeat together.
+            let count = count.min(placeable_tasks(capacity, jobs[id]));
+            if count > 0 {
+                start_tasks(capacity, jobs[id], count, &mut self.starts);
+            }
         }
     }
 
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of placement and preemption.
 
 use super::*;
+use crate::protocol::heartbeat_size::TASKS_BYTES;
 use crate::protocol::user::{JobKind, JobSpec, Priority};
 use crate::state::{Images, Resources};
 use std::collections::BTreeMap;
@@ -15,6 +16,7 @@
         cores,
         gpus: 0.0,
         mem_gb: 32.0,
+        heartbeat_bytes: TASKS_BYTES as f64,
         total_cores: 8.0,
         total_gpus: 0.0,
         total_mem_gb: 32.0,
@@ -224,7 +226,8 @@
     let full = capacity("m1", 0.0, "img");
     let starts = starts_of(&mut [full.clone(), capacity("m2", 8.0, "")], vec![waiting()]);
     assert_eq!(starts.len(), 1);
-    let used_by_arrays = MachineCapacity { used_by_arrays: Resources { cores: 2.0, gpus: 0.0, mem_gb: 2.0 }, ..full };
+    let used_by_arrays =
+        MachineCapacity { used_by_arrays: Resources { cores: 2.0, mem_gb: 2.0, ..Resources::default() }, ..full };
     assert!(starts_of(&mut [used_by_arrays, capacity("m2", 8.0, "")], vec![waiting()]).is_empty());
 }
 
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -24,4 +24,4 @@
 pub use job::{EndedJob, Job, TaskRangeState};
 pub use log_replay::{LogSlot, MemberLog};
 pub use machine_load::{ImageLoad, Images, MachineLoad, PlacedTasks};
-pub use resources::Resources;
+pub use resources::{Resources, heartbeat_bytes};
--- a/src/state/resources.rs
+++ b/src/state/resources.rs
@@ -2,9 +2,10 @@
 
 #![warn(missing_docs)]
 
+use crate::protocol::heartbeat_size::task_bytes;
 use crate::protocol::user::JobSpec;
 
-/// Amounts of CPU cores, GPUs and memory, of a machine or of tasks.
+/// Amounts of CPU cores, GPUs, memory and space in the heartbeat, of a machine or of tasks.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Resources {
     /// The number of CPU cores.
@@ -13,12 +14,19 @@
     pub gpus: f64,
     /// Memory, in GB.
     pub mem_gb: f64,
+    /// Space in the heartbeat of the machine, which lists every task, in bytes.
+    pub heartbeat_bytes: f64,
 }
 
 impl Resources {
     /// The resources that `tasks` tasks of the job require.
     pub fn of_tasks(spec: &JobSpec, tasks: f64) -> Resources {
-        Resources { cores: spec.cores * tasks, gpus: spec.gpus * tasks, mem_gb: spec.mem_gb * tasks }
+        Resources {
+            cores: spec.cores * tasks,
+            gpus: spec.gpus * tasks,
+            mem_gb: spec.mem_gb * tasks,
+            heartbeat_bytes: heartbeat_bytes(spec) * tasks,
+        }
     }
 
     /// Adds the resources that `tasks` tasks of the job require. A negative number subtracts
@@ -32,5 +40,11 @@
         self.cores += other.cores * factor;
         self.gpus += other.gpus * factor;
         self.mem_gb += other.mem_gb * factor;
+        self.heartbeat_bytes += other.heartbeat_bytes * factor;
     }
 }
+
+/// The space that one task of the job takes in the heartbeat of its machine, in bytes.
+pub fn heartbeat_bytes(spec: &JobSpec) -> f64 {
+    task_bytes(&spec.uid, spec.task_count) as f64
+}
--- a/src/transport/listeners.rs
+++ b/src/transport/listeners.rs
@@ -122,6 +122,7 @@
             // Once a request has begun, the rest of it must arrive within the request timeout.
             Parsed::Partial => connection.deadline = connection.deadline.min(now + self.request_timeout),
             Parsed::Invalid(status) => {
+                tracing::debug!(status, "invalid request refused");
                 *close = true;
                 http::write_response(&mut connection.write_buffer, status, &[], None, true);
             }
--- a/tests/limits/mod.rs
+++ b/tests/limits/mod.rs
@@ -1,12 +1,13 @@
 //! Limits that a cluster of thousands of machines reaches, tested on a smaller scale: pages, bursts
 //! and messages are scaled down, the controllers are unchanged (`docs/notes/limits.md`).
 
+mod bodies;
 mod numbers;
 
 use crate::world::cloud::PagedList;
 use crate::world::helpers::{done, running};
 use crate::world::{Job, SMALL, Size, World, array, bytes, s, service};
-use ciborium::cbor;
+use ciborium::{Value, cbor};
 use finchquay::effects::{Action, Event};
 use finchquay::protocol::peer::{self, Frame};
 
@@ -15,6 +16,12 @@
 /// Number of machines that send heartbeats to one controller.
 const HEARD_MACHINES: u64 = 8_000;
 
+/// Stores a value behind the controllers' backs, as an earlier version may have.
+fn store(w: &mut World, key: &str, data: &Value) {
+    let body = cbor!({"if" => [], "then" => [{"put" => key, "data" => data}]}).unwrap();
+    assert!(w.store.apply(w.now, &body), "{key} was not stored");
+}
+
 /// Guards against a fault by which a list with more pages than the cloud admits requests in a
 /// burst was never complete. The cloud admits six, and a list of 4,000 machines has eight pages:
 /// the seventh request was refused, and the controller began the list again from the first page.
--- a/tests/limits/numbers.rs
+++ b/tests/limits/numbers.rs
@@ -1,6 +1,7 @@
 //! Numbers from users, agents, the cloud, the store and the settings at the ends of their types.
 //! Each test guards against a controller that ends because it cannot convert such a number.
 
+use super::store;
 use crate::world::helpers::done;
 use crate::world::{Job, SMALL, World, array, bytes, s};
 use ciborium::{Value, cbor};
@@ -18,12 +19,6 @@
 const AMOUNT_FIELDS: [&str; 8] =
     ["cores", "gpus", "mem_gb", "size_gb", "expected_s", "stamp_every_s", "stamp_s", "due_s"];
 
-/// Stores a value behind the controllers' backs, as an earlier version may have.
-fn store(w: &mut World, key: &str, data: &Value) {
-    let body = cbor!({"if" => [], "then" => [{"put" => key, "data" => data}]}).unwrap();
-    assert!(w.store.apply(w.now, &body), "{key} was not stored");
-}
-
 /// Runs an ordinary job to its end, with machines rented and returned, and asserts that the
 /// controllers of the world still work.
 fn assert_serves(w: &mut World, uid: &str) {
--- a/tests/world/counters.rs
+++ b/tests/world/counters.rs
@@ -16,6 +16,8 @@
     pub duplicated_commands: (u32, u32),
     /// Copies of answered commands that were left out, as a restarted agent had seen no token yet.
     pub unfenced_copies: u32,
+    /// Heartbeats that were refused because they exceed the limit on bodies.
+    pub oversized_heartbeats: u32,
     /// When each controller confirmed a submission to a user.
     pub acceptances: Vec<(Duration, usize)>,
     /// Requests of users that got no answer within their time.
--- a/tests/world/events.rs
+++ b/tests/world/events.rs
@@ -2,11 +2,15 @@
 
 #![warn(missing_docs)]
 
+use super::bodies::exceeds_limit;
 use super::users::Asked;
 use super::{World, get, s, text, users};
 use ciborium::Value;
 use finchquay::effects::{Action, Event, NoAnswer, Reply};
 
+/// HTTP status for a request whose body exceeds the limit.
+const STATUS_TOO_LARGE: u16 = 413;
+
 /// The sender of a request, to whom the answer goes.
 pub(super) enum Source {
     /// An agent, by machine name, with the sequence number of its heartbeat.
@@ -131,6 +135,11 @@
                 if p.process_epoch != self.nodes[node].process_epoch || lost {
                     return;
                 }
+                if path == "/checkin" && exceeds_limit(&body) {
+                    // The transport refuses it before the controller sees it.
+                    self.counters.oversized_heartbeats += 1;
+                    return self.schedule_after(0.0, WorldEvent::Reply(conn, STATUS_TOO_LARGE, vec![]));
+                }
                 self.handle_event(node, Event::Request { conn, method, path, body });
             }
             WorldEvent::DuplicateHeartbeat(node, body) => {
--- a/tests/world/jobs.rs
+++ b/tests/world/jobs.rs
@@ -27,6 +27,8 @@
     pub tasks: u32,
     /// CPUs of each task.
     pub cores: f64,
+    /// Memory of each task, in GB.
+    pub mem_gb: f64,
     /// The run time of a task that its user estimates, in seconds.
     pub run_s: f64,
     /// The team that it belongs to.
@@ -55,15 +57,24 @@
 
 /// Returns an array of independent tasks with two CPUs each.
 pub fn array(tasks: u32, run_s: f64) -> Job {
-    Job { tasks, cores: 2.0, run_s, team: "free".into(), ..Job::default() }
+    Job { tasks, cores: 2.0, mem_gb: 1.0, run_s, team: "free".into(), ..Job::default() }
 }
 
 /// Returns a gang in one zone, whose tasks take half a machine each.
 pub fn gang(tasks: u32) -> Job {
-    Job { tasks, cores: 4.0, gpus: 2.0, gang: true, zone_affinity: true, team: "free".into(), ..Job::default() }
+    Job {
+        tasks,
+        cores: 4.0,
+        mem_gb: 1.0,
+        gpus: 2.0,
+        gang: true,
+        zone_affinity: true,
+        team: "free".into(),
+        ..Job::default()
+    }
 }
 
 /// Returns a service of tasks with one CPU each.
 pub fn service(tasks: u32) -> Job {
-    Job { tasks, cores: 1.0, run_s: 1e9, standing: true, team: "free".into(), ..Job::default() }
+    Job { tasks, cores: 1.0, mem_gb: 1.0, run_s: 1e9, standing: true, team: "free".into(), ..Job::default() }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -4,6 +4,7 @@
 
 #![warn(missing_docs)]
 
+mod bodies;
 mod capacity;
 mod cbor;
 mod checks;
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -3,6 +3,7 @@
 
 #![warn(missing_docs)]
 
+use super::bodies::exceeds_limit;
 use super::digest::{Origin, Request};
 use super::events::{Pending, Source, WorldEvent};
 use super::settings::controller_settings;
@@ -120,6 +121,7 @@
         for action in actions {
             match action {
                 Action::Respond { conn, status, body, .. } => {
+                    self.check_body_size(&body, "an answer");
                     let mut lag = self.draw_latency();
                     let unreachable = |p: &Pending| matches!(&p.source, Source::Worker(name, _) if !self.node_reaches_machine(name, p.node));
                     let lost = self.pending.get(&conn).is_some_and(unreachable);
@@ -141,6 +143,9 @@
                     }
                 }
                 call => {
+                    if let Action::Call { path, body: Some(body), .. } = &call {
+                        self.check_body_size(body, path);
+                    }
                     self.crash_in_exchange(node, &call);
                     let writes = matches!(&call, Action::Call { path, .. } if path == "/multi");
                     let lag = self.draw_latency() + if writes { self.faults.transaction_delay_s } else { 0.0 };
@@ -154,6 +159,11 @@
         }
     }
 
+    /// Checks that a body that a controller sends is within the limit of the protocol.
+    fn check_body_size(&self, body: &[u8], what: &str) {
+        assert!(!exceeds_limit(body), "seed {}, {:?}: {what} exceeds the limit on bodies", self.seed, self.now);
+    }
+
     /// Adds the actions of a controller to the digest, as they go over the wire.
     pub(super) fn record(&mut self, node: usize, actions: &[Action]) {
         let origin = Origin { at: self.now, node };
--- a/tests/world/users.rs
+++ b/tests/world/users.rs
@@ -376,7 +376,7 @@
     };
     cbor!({
         "uid" => uid, "docket" => class, "desk" => job.team.clone(), "form" => kind, "urgency" => priority,
-        "parcels" => job.tasks, "cores" => job.cores, "gpus" => job.gpus, "mem_gb" => 1.0, "bundle" => "img-1",
+        "parcels" => job.tasks, "cores" => job.cores, "gpus" => job.gpus, "mem_gb" => job.mem_gb, "bundle" => "img-1",
         "size_gb" => 0.5, "builds" => null, "site" => job.zone, "together" => job.zone_affinity, "apart" => job.zone_anti_affinity,
         "loaners" => true, "expected_s" => job.run_s.min(100.0), "stamp_every_s" => if job.gang || job.idle { 2.0 } else { 0.0 }, "stamp_s" => 1.5, "due_s" => null
     })
