Machines are brought together for gangs that are spread over zones

Cause: gather_for_gang, which brings machines into one shard for a gang that fits into none, counted a shard's room as the sum over its machines. A machine in one zone with room for both tasks counted as a shard that holds the gang, though at most half of the tasks may be in one zone. The assignment, the placement and the renting do count that limit, so each waited for another.

Fix: GangCapacity counts what a set of machines holds of a gang with its limit for each zone. It decides whether a shard holds the gang, whether all shards do together, and which machines move.

--- a/src/coordination/shards/machine_moves.rs
+++ b/src/coordination/shards/machine_moves.rs
@@ -1,14 +1,11 @@
 //! Decides which machine groups move to another owner: from controllers that are gone or that
-//! their machines cannot reach, from the largest shard to the smallest, and into one shard for a
-//! gang for which no shard has room. It also chooses the owners of new machines.
+//! their machines cannot reach, and from the largest shard to the smallest. It also chooses the
+//! owners of new machines.
 
 #![warn(missing_docs)]
 
-use crate::placement::MachineCapacity;
-use crate::protocol::user::JobSpec;
 use crate::state::ClusterState;
 use crate::state::records::MachineGroupRecord;
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The move of a machine group (machines that share one record) to another controller.
@@ -161,78 +158,3 @@
 fn placed_tasks(state: &ClusterState, group: &MachineGroupRecord) -> usize {
     group.machines.iter().map(|machine| state.placed_tasks.get(machine).map_or(0, |placed| placed.len())).sum()
 }
-
-/// The number of one job's tasks for which each member's shard has room.
-type TasksByMember<'a> = BTreeMap<&'a str, u32>;
-
-/// The moves that bring enough machines into one shard for a gang that fits into no single
-/// shard, although all shards together have room for it.
-///
-/// If the gang must run in one zone, only machines of one zone are used. The shard with the most
-/// room gets the missing machines. Returns no moves if a shard already has room, or if all
-/// shards together do not.
-pub fn gather_for_gang(
-    state: &ClusterState,
-    capacities: &[(String, MachineCapacity)],
-    spec: &JobSpec,
-) -> Vec<GroupMove> {
-    let zones = capacity_by_zone(state, capacities, spec);
-    let most_tasks = |tasks: &TasksByMember| tasks.values().copied().max().unwrap_or(0);
-    if zones.values().any(|tasks| most_tasks(tasks) >= spec.task_count) {
-        return Vec::new(); // assigning the tasks to that shard is enough
-    }
-    let enough = zones.iter().filter(|(_, tasks)| tasks.values().sum::<u32>() >= spec.task_count);
-    let Some((zone, tasks_by_member)) = enough.max_by_key(|(_, tasks)| most_tasks(tasks)) else {
-        return Vec::new();
-    };
-    let Some((to, present)) = tasks_by_member.iter().max_by_key(|(_, tasks)| **tasks) else { return Vec::new() };
-    let is_usable = |c: &MachineCapacity| (!spec.zone_affinity || c.zone == *zone) && c.fitting_tasks(spec) > 0;
-    let others = capacities.iter().filter(|(member, c)| member != to && is_usable(c));
-    let mut others: Vec<&MachineCapacity> = others.map(|(_, c)| c).collect();
-    others.sort_by_key(|c| Reverse(c.fitting_tasks(spec)));
-    moves_for_tasks(state, others, spec, spec.task_count.saturating_sub(*present), to)
-}
-
-/// How many of the gang's tasks each member's shard has room for, by zone. If the gang may be
-/// spread over zones, all zones count as one.
-fn capacity_by_zone<'a>(
-    state: &ClusterState,
-    capacities: &'a [(String, MachineCapacity)],
-    spec: &JobSpec,
-) -> BTreeMap<&'a str, TasksByMember<'a>> {
-    let mut zones: BTreeMap<&str, TasksByMember> = BTreeMap::new();
-    for (member, capacity) in capacities.iter().filter(|(member, _)| state.members.contains_key(member)) {
-        let tasks = capacity.fitting_tasks(spec).min(spec.task_count);
-        let zone = if spec.zone_affinity { capacity.zone.as_str() } else { "" };
-        if tasks > 0 {
-            *zones.entry(zone).or_default().entry(member).or_default() += tasks;
-        }
-    }
-    zones
-}
-
-/// Moves the groups of these machines in order, until there is room for `missing` more of the
-/// job's tasks.
-fn moves_for_tasks(
-    state: &ClusterState,
-    machines: Vec<&MachineCapacity>,
-    spec: &JobSpec,
-    mut missing: u32,
-    to: &str,
-) -> Vec<GroupMove> {
-    let mut moves: Vec<GroupMove> = Vec::new();
-    for capacity in machines {
-        if missing == 0 {
-            break;
-        }
-        let Some(record) = state.machines.get(&capacity.machine).filter(|record| state.is_machine_held(&record.rec))
-        else {
-            continue;
-        };
-        if !moves.iter().any(|m| m.group == record.rec.group) {
-            moves.push(GroupMove { group: record.rec.group.clone(), to: to.to_string() });
-        }
-        missing = missing.saturating_sub(capacity.fitting_tasks(spec));
-    }
-    moves
-}
--- a/tests/known/gangs.rs
+++ b/tests/known/gangs.rs
@@ -4,7 +4,7 @@
 
 use crate::world::helpers::{done, random_failures, running, with_spare_machines};
 use crate::world::worker::TaskState;
-use crate::world::{SMALL, Size, World, gang, s, service};
+use crate::world::{Job, SMALL, Size, World, gang, s, service};
 use rand::RngExt;
 
 /// A cluster whose transactions of four changes name fewer machines than the gangs need.
@@ -83,3 +83,56 @@
         assert!(w.now >= s(400.0));
     }
 }
+
+/// Guards against a gang that must be spread over zones and waits forever beside idle machines of
+/// several controllers: a shard with many machines in one zone counted as large enough for it, so
+/// no machines were brought together.
+#[test]
+fn a_gang_spread_over_zones_starts_on_machines_of_several_controllers() {
+    // Two machines of two controllers, and six machines of which each controller has two.
+    for (seed, machines, tasks) in [(0, 2, 2), (1, 2, 3), (2, 6, 12), (3, 6, 11)] {
+        let size = Size { machines, zones: &["a", "b"], ..SMALL };
+        let mut w = with_spare_machines(9500 + seed, size, 0);
+        w.run_until(20.0);
+        w.submit("run-003", Job { zone_affinity: false, zone_anti_affinity: true, ..gang(tasks) });
+        w.run_until(140.0);
+        assert!(done(&w, "run-003"), "seed {seed}: {tasks} tasks wait beside {machines} idle machines");
+    }
+}
+
+/// The tasks of a spread service start one by one: those that wait are assigned to the shard that
+/// has room in the other zone.
+#[test]
+fn a_spread_service_starts_on_machines_of_several_controllers() {
+    for seed in 0..4 {
+        let size = Size { machines: 2, zones: &["a", "b"], ..SMALL };
+        let mut w = with_spare_machines(9520 + seed, size, 0);
+        w.run_until(20.0);
+        w.submit("run-009", Job { zone_anti_affinity: true, ..service(4) });
+        w.run_until(60.0);
+        assert_eq!(running(&w, "run-009"), 4, "seed {seed}");
+    }
+}
+
+/// A spread gang loses a machine, and the machines that are left in both zones belong to different
+/// controllers: the gang starts again there.
+#[test]
+fn a_gang_spread_over_zones_starts_again_after_a_machine_is_lost() {
+    for seed in 0..6 {
+        let size = Size { machines: 4, zones: &["a", "b"], ..SMALL };
+        let mut w = with_spare_machines(9510 + seed, size, 0);
+        w.run_until(20.0);
+        w.submit("run-007", Job { zone_affinity: false, zone_anti_affinity: true, ..gang(2) });
+        let mut at = 20.0;
+        while running(&w, "run-007") < 2 {
+            at += 1.0;
+            assert!(at < 90.0, "seed {seed}: the gang has not started");
+            w.run_until(at);
+        }
+        let lost = w.workers.values().find(|x| !x.tasks.is_empty()).unwrap().name.clone();
+        w.workers.remove(&lost);
+        w.cloud.machines.remove(&lost);
+        w.run_until(at + 120.0);
+        assert!(done(&w, "run-007"), "seed {seed}: the gang waits beside idle machines");
+    }
+}
