Machines are reserved for a gang only in zones that it can use

Found on a related path of the case of spread gangs, by reading. Callers would see a gang that waits forever behind its own reservation: the machines reserved for it were the emptiest ones of all zones, or the first ones found, also where at most half of its tasks may be in one zone, or all of them must be. All reserved machines could come free, and the gang still did not fit, while the others were filled with other tasks again.

Fix: of the machines that a job could use, those are reserved that it can use at the same time: with the limit for each zone, or all in the zone with the most of them. DESIGN's "the emptiest machines that task needs" stays. The reservations have a module of their own.

Red before: machines_are_reserved_only_in_zones_that_the_gang_can_use, "left: [a0, a1, a2, a3], right: [a0, a1, b0, b1]".

--- a/src/placement/gang.rs
+++ b/src/placement/gang.rs
@@ -3,10 +3,7 @@
 #![warn(missing_docs)]
 
 use super::{MachineCapacity, Start, WaitingJob, placeable_tasks, start_tasks, zone_capacity};
-use std::collections::{BTreeMap, BTreeSet};
-
-/// The share of the machines that may be reserved for waiting gangs.
-const MAX_RESERVED_SHARE: f64 = 0.25;
+use std::collections::BTreeSet;
 
 /// A machine on which tasks of the gang could be placed.
 struct Candidate<'a> {
@@ -112,23 +109,3 @@
     }
     (left == 0).then_some(placement)
 }
-
-/// Reserves machines that have room for tasks of a gang that still waits, until enough others
-/// come free or boot. For a gang with zone affinity they are those of the zone with the most
-/// such machines. Without a reservation other tasks would take them one by one, and the gang
-/// would need several machines to come free at the same moment. The reserved share of the
-/// fleet is limited ([`MAX_RESERVED_SHARE`]), so that gangs do not leave it idle.
-pub(super) fn reserve_for_gang(capacities: &[MachineCapacity], gang: &WaitingJob, reserved: &mut BTreeSet<String>) {
-    if gang.tasks.is_empty() {
-        return;
-    }
-    let limit = ((capacities.len() as f64 * MAX_RESERVED_SHARE) as usize).saturating_sub(reserved.len());
-    let mut by_zone: BTreeMap<&str, Vec<&MachineCapacity>> = BTreeMap::new();
-    for capacity in capacities.iter().filter(|c| placeable_tasks(c, gang) > 0 && !reserved.contains(&c.machine)) {
-        let zone = if gang.spec.zone_affinity { capacity.zone.as_str() } else { "" };
-        by_zone.entry(zone).or_default().push(capacity);
-    }
-    let found = by_zone.into_values().max_by_key(|found| found.len()).unwrap_or_default();
-    let machines = found.iter().map(|capacity| capacity.machine.clone());
-    reserved.extend(machines.take(limit.min(gang.tasks.len())));
-}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -12,13 +12,15 @@
 mod gang;
 pub mod knapsack;
 mod preemption;
+mod reservation;
 
 pub use capacity::MachineCapacity;
 pub use preemption::{Victim, preempt};
 
 use crate::protocol::user::{JobKind, JobSpec, Priority};
-use gang::{place_gang, reserve_for_gang};
+use gang::place_gang;
 use knapsack::{CPU_STEPS, GPU_STEPS, Knapsack, TaskGroup, task_value};
+use reservation::{reserve_emptiest, reserve_for_gang};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Weight of a job's position in the order of service, which decides among tasks of equal value;
@@ -395,15 +397,5 @@
     capacities.iter().filter(is_empty).take(limit).map(|capacity| capacity.machine.clone()).collect()
 }
 
-/// Reserves the machines with the most free cores among those that could hold a task of the job
-/// if they were empty: one per waiting task of a gang, else one.
-fn reserve_emptiest(capacities: &[MachineCapacity], job: &WaitingJob, reserved: &mut BTreeSet<String>) {
-    let count = if job.spec.kind == JobKind::Gang { job.tasks.len() } else { 1 };
-    let mut suitable: Vec<&MachineCapacity> =
-        capacities.iter().filter(|c| c.could_hold(job.spec) && !reserved.contains(&c.machine)).collect();
-    suitable.sort_by(|a, b| b.cores.total_cmp(&a.cores).then(a.machine.cmp(&b.machine)));
-    reserved.extend(suitable.iter().take(count).map(|capacity| capacity.machine.clone()));
-}
-
 #[cfg(test)]
 pub(crate) mod tests;
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -253,6 +253,38 @@
     assert_eq!(starts.len(), 8);
 }
 
+/// Guards against gangs that wait forever behind their own reservation: all of it was in one zone,
+/// where a gang may have only half of its tasks, or in several zones, where it must be in one.
+#[test]
+fn machines_are_reserved_only_in_zones_that_the_gang_can_use() {
+    let mut gang = JobSpec::example("run-1");
+    (gang.kind, gang.cores, gang.task_count) = (JobKind::Gang, 8.0, 4);
+    let array = JobSpec { cores: 6.0, ..JobSpec::example("run-2") };
+    let in_zone =
+        |name: &str, zone: &str, cores: f64| MachineCapacity { zone: zone.into(), ..capacity(name, cores, "img") };
+    // The machines that the array leaves alone although it fits there.
+    let reserved = |gang: &JobSpec, capacities: &[MachineCapacity]| -> Vec<String> {
+        let overdue = WaitingJob { waited_s: 1e4, ..waiting_job(gang, 4, 1.0, 1.0) };
+        let starts = starts_of(&mut capacities.to_vec(), vec![overdue, waiting_job(&array, 9, 1.0, 1.0)]);
+        let names = capacities.iter().map(|c| c.machine.clone());
+        names.filter(|name| starts.iter().all(|start| start.machine != *name)).collect()
+    };
+    // The emptiest machines are in zone a.
+    let capacities: Vec<MachineCapacity> = (0..4)
+        .map(|n| in_zone(&format!("a{n}"), "a", 7.0))
+        .chain((0..3).map(|n| in_zone(&format!("b{n}"), "b", 6.0)))
+        .collect();
+    gang.zone_anti_affinity = true;
+    assert_eq!(reserved(&gang, &capacities), ["a0", "a1", "b0", "b1"]);
+    // Zone a has the emptiest machines, but only three.
+    let capacities: Vec<MachineCapacity> = (0..3)
+        .map(|n| in_zone(&format!("a{n}"), "a", 7.0))
+        .chain((0..4).map(|n| in_zone(&format!("b{n}"), "b", 6.0)))
+        .collect();
+    (gang.zone_anti_affinity, gang.zone_affinity) = (false, true);
+    assert_eq!(reserved(&gang, &capacities), ["b0", "b1", "b2", "b3"]);
+}
+
 /// Guards against on-demand machines that were rented for gangs going to arrays, which may run on
 /// spot machines, in shards where no gang waits yet: more would be rented then.
 #[test]
