Waiting tasks count as a queue only where they could start

Cause: a controller's queue was the sum of the cores of all tasks waiting there. The failing job's tasks, retried ever more rarely, made both controllers with machines count as overfull, and the one without machines as the best. Jobs there move only to a controller whose room exceeds its queue.

Fix: in reassignments, tasks count against a controller's room as far as they could start there now, by type, zone, size and quota; what is more is the backlog that decides between full controllers. Stalled jobs, seen in the replicated state, do not count. Tasks go only to controllers with machines that could run them, if there are any. Tasks reassigned in a round count for the next ones. The reassignment has a module of its own; acceptance counts as before.

--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -1,10 +1,12 @@
 //! The HTTP interface: submissions, status queries and cancellations of users, health checks
 //! of the load balancer, and the dispatch of workers' heartbeats.
 
+use super::task_ranges::AssignmentView;
 use super::transactions::TxnOutcome;
 use super::*;
 use crate::connectivity::peer_table::Peer;
 use crate::coordination::health::{HealthInputs, is_healthy};
+use crate::coordination::shards::ShardMachineKinds;
 use crate::protocol::store::{Condition, Op};
 use crate::protocol::user::{ErrorBody, JobKind, JobSpec, JobState, Route, Status, is_valid_job_id, route};
 use crate::protocol::{decode, encode};
@@ -134,9 +136,13 @@
         let uid = spec.uid.clone();
         let waiting: Vec<u32> = (0..spec.task_count).collect();
         let counted = self.counted_tasks(&spec);
-        let (capacities, queues) =
-            (self.capacities_counting(true, counted), self.queued_cores_by_controller(counted, spec.priority));
-        let task_ranges = self.task_ranges_for(&spec, &waiting, &capacities, &queues, &BTreeMap::new());
+        let view = AssignmentView {
+            capacities: &self.capacities_counting(true, counted),
+            kinds: &ShardMachineKinds::of(&self.state),
+            queues: &self.queues_by_controller(counted, spec.priority),
+            tasks_by_zone: &BTreeMap::new(),
+        };
+        let task_ranges = self.task_ranges_for(&spec, &waiting, &view);
         let record = records::JobRecord {
             task_count: spec.task_count,
             spec: Some(spec),
--- a/src/controller/journal/segment.rs
+++ b/src/controller/journal/segment.rs
@@ -361,6 +361,6 @@
 /// completed under the same attempt number, by which its tasks find each other. So is a wide
 /// gang, whose placements go into several segments.
 fn next_attempt(job: &Job) -> u64 {
-    let highest = job.task_states.values().map(|chunk| chunk.rec.highest_attempt).max().unwrap_or(0);
+    let highest = job.highest_attempt();
     if job.spec.kind == JobKind::Gang && job.placed > 0 { highest } else { highest + 1 }
 }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -17,6 +17,7 @@
 mod outbox;
 mod process;
 mod quota;
+mod reassignment;
 mod registration;
 mod releases;
 mod scheduler;
--- a/src/controller/scheduler/mod.rs
+++ b/src/controller/scheduler/mod.rs
@@ -200,13 +200,13 @@
     objectives.next_completion_limit_s(&job.spec, age_s, run_s).is_none_or(|deadline_s| deadline_s - age_s >= run_s)
 }
 
-/// The cores that the job's waiting tasks need, by the controller that the tasks are assigned
-/// to. Where they are assigned to several controllers, all task ranges are taken to have the
-/// same share of waiting tasks.
-pub(super) fn waiting_cores_by_controller(job: &Job) -> impl Iterator<Item = (&str, f64)> {
-    let cores_per_task = f64::from(job.waiting_count()) * job.spec.cores / f64::from(job.spec.task_count.max(1));
-    let cores = move |range: &TaskRange| f64::from(range.to + 1 - range.from) * cores_per_task;
-    job.rec.rec.task_ranges.iter().map(move |range| (range.member.as_str(), cores(range)))
+/// The number of the job's waiting tasks by the controller that they are assigned to. Where they
+/// are assigned to several controllers, all task ranges are taken to have the same share of
+/// waiting tasks.
+pub(super) fn waiting_tasks_by_controller(job: &Job) -> impl Iterator<Item = (&str, f64)> {
+    let waiting_share = f64::from(job.waiting_count()) / f64::from(job.spec.task_count.max(1));
+    let tasks = move |range: &TaskRange| f64::from(range.to + 1 - range.from) * waiting_share;
+    job.rec.rec.task_ranges.iter().map(move |range| (range.member.as_str(), tasks(range)))
 }
 
 /// The change that ends a job: its record then has no specification and no task ranges, only
--- a/src/controller/sharding.rs
+++ b/src/controller/sharding.rs
@@ -8,7 +8,7 @@
 
 use super::*;
 use crate::coordination::log_writer::count_that_fit;
-use crate::coordination::shards::{self, required_moves};
+use crate::coordination::shards::{self, StalledJobs, required_moves};
 use crate::protocol::encode;
 use crate::protocol::store::{Condition, Op};
 use crate::protocol::user::JobKind;
@@ -24,6 +24,8 @@
     pub(super) rebalance_next: Instant,
     /// No rebalancing before this time, since machines were brought together for a gang.
     pub(super) rebalance_after_gang: Instant,
+    /// Jobs whose tasks wait beside room that they do not take.
+    pub(super) stalled_jobs: StalledJobs,
     /// By machine and controller that the machine did not reach, until when the machine is not
     /// granted to that controller.
     pub(super) avoid_until: HashMap<(String, String), Instant>,
--- a/src/coordination/shards/assignment.rs
+++ b/src/coordination/shards/assignment.rs
@@ -2,6 +2,7 @@
 
 #![warn(missing_docs)]
 
+use super::queues::ShardQueue;
 use crate::placement::{MachineCapacity, zone_capacity};
 use crate::protocol::user::JobSpec;
 use crate::state::records::TaskRange;
@@ -15,9 +16,8 @@
     pub members: &'a [String],
     /// The capacities of all machines, with the members that own them.
     pub capacities: &'a [(String, MachineCapacity)],
-    /// The number of cores for which tasks assigned to each member already wait, ahead of the
-    /// job's own tasks.
-    pub queued_cores: &'a BTreeMap<String, f64>,
+    /// The tasks that already wait at each member, ahead of the job's own tasks.
+    pub queues: &'a BTreeMap<String, ShardQueue>,
     /// The number of tasks whose state is in the same record. They are assigned together, so
     /// that every record has a single writer.
     pub tasks_per_record: u32,
@@ -71,12 +71,29 @@
     by_member
 }
 
+/// How many tasks of the job each member's shard has room for, as [`AssignmentInputs`] counts them.
+pub fn fitting_tasks_by_member<'a>(
+    capacities: &'a [(String, MachineCapacity)],
+    spec: &JobSpec,
+    tasks_by_zone: &BTreeMap<String, u32>,
+) -> BTreeMap<&'a str, u32> {
+    let by_member = capacity_by_member(capacities, spec, tasks_by_zone).into_iter();
+    by_member.map(|(member, capacity)| (member, capacity.tasks)).collect()
+}
+
+/// The number of tasks of the job that need as much as `cores`.
+pub fn queued_tasks(spec: &JobSpec, cores: f64) -> i64 {
+    (cores / spec.cores.max(f64::MIN_POSITIVE)).min(MAX_QUEUED_TASKS) as i64
+}
+
 /// What one member's shard offers a job.
 struct Offer<'a> {
     member: &'a str,
-    /// The number of the job's tasks for which it has room after its queue; negative if the queue
-    /// needs more than its room.
+    /// The number of the job's tasks for which it has room after the queued tasks that may take
+    /// this room; negative if those need more than the room.
     fits: i64,
+    /// The rest of the queue, in tasks of the job.
+    backlog: i64,
     /// The number of the job's tasks that fit on machines which hold its image.
     with_image: u32,
     /// The number of machines that hold the image, plus that of waiting tasks whose machines will
@@ -84,32 +101,31 @@
     image_copies: u32,
 }
 
+impl Offer<'_> {
+    /// The room after `taken` tasks of the job. Where none is left, the tasks wait behind the rest
+    /// of the queue as well.
+    fn room_after(&self, taken: i64) -> i64 {
+        let left = self.fits - taken;
+        if left > 0 { left } else { left - self.backlog }
+    }
+}
+
 /// The longest queue that is told from longer ones. Queues are measured in tasks of one job,
 /// and tasks may need next to nothing.
 const MAX_QUEUED_TASKS: f64 = u32::MAX as f64;
 
 impl AssignmentInputs<'_> {
-    /// The number of the job's tasks for which each member has room after its queue; negative if
-    /// the queue needs more than its room.
-    pub fn free_tasks_by_member(&self, spec: &JobSpec) -> Vec<(&str, i64)> {
-        self.offers(spec).into_iter().map(|offer| (offer.member, offer.fits)).collect()
-    }
-
-    /// The length of the member's queue, expressed in tasks of the job.
-    fn queued_tasks(&self, spec: &JobSpec, member: &str) -> i64 {
-        let tasks = self.queued_cores.get(member).copied().unwrap_or(0.0) / spec.cores.max(f64::MIN_POSITIVE);
-        tasks.min(MAX_QUEUED_TASKS) as i64
-    }
-
     /// The offer of each member, in the order of `members`.
     fn offers(&self, spec: &JobSpec) -> Vec<Offer<'_>> {
         let capacities_left = capacity_by_member(self.capacities, spec, self.tasks_by_zone);
         let image_copies = self.image_copies(spec);
         let offer = |member| {
             let capacity_left = capacities_left.get(member).copied().unwrap_or_default();
+            let queue = self.queues.get(member).copied().unwrap_or_default();
             Offer {
                 member,
-                fits: i64::from(capacity_left.tasks) - self.queued_tasks(spec, member),
+                fits: i64::from(capacity_left.tasks) - queued_tasks(spec, queue.competing_cores),
+                backlog: queued_tasks(spec, queue.backlog_cores),
                 with_image: capacity_left.with_image,
                 image_copies: image_copies.get(member).copied().unwrap_or(0),
             }
@@ -135,7 +151,7 @@
         let mut offers = self.offers(spec);
         offers.sort_by_key(|offer| {
             let with_image = offer.with_image.min(waiting);
-            (Reverse(with_image), Reverse(offer.image_copies), Reverse(offer.fits), offer.member != me)
+            (Reverse(with_image), Reverse(offer.image_copies), Reverse(offer.room_after(0)), offer.member != me)
         });
         offers
     }
@@ -179,10 +195,13 @@
 /// The member for a job that fits into no shard now and is not split. It waits where the most
 /// copies of its image are or will be, unless the wait there would be much longer than elsewhere.
 fn member_to_wait_for<'a>(spec: &JobSpec, offers: &[Offer<'a>], inputs: &AssignmentInputs) -> Option<&'a str> {
-    let most_room = offers.iter().map(|offer| offer.fits).max()?;
-    let queued = offers.iter().map(|offer| inputs.queued_tasks(spec, offer.member)).sum::<i64>();
-    let average_queue = queued / offers.len() as i64;
-    let tolerable = offers.iter().filter(|offer| offer.fits >= most_room - average_queue);
+    let most_room = offers.iter().map(|offer| offer.room_after(0)).max()?;
+    let queued = |offer: &Offer| {
+        let queue = inputs.queues.get(offer.member).copied().unwrap_or_default();
+        queued_tasks(spec, queue.competing_cores + queue.backlog_cores)
+    };
+    let average_queue = offers.iter().map(queued).sum::<i64>() / offers.len() as i64;
+    let tolerable = offers.iter().filter(|offer| offer.room_after(0) >= most_room - average_queue);
     let best = tolerable.max_by_key(|offer| (offer.image_copies, tie_breaker(&spec.image, offer.member)))?;
     Some(best.member)
 }
@@ -199,11 +218,12 @@
 /// member with the most room left. Each range extends to the beginning of the next one, so that
 /// the ranges cover all of the job's tasks.
 fn split_by_record(spec: &JobSpec, waiting: &[u32], offers: &[Offer], tasks_per_record: u32) -> Vec<TaskRange> {
-    let mut capacities_left: Vec<i64> = offers.iter().map(|offer| offer.fits).collect();
+    let mut taken = vec![0; offers.len()];
     let mut ranges: Vec<TaskRange> = Vec::new();
     for tasks in waiting.chunk_by(|a, b| a / tasks_per_record == b / tasks_per_record) {
-        let Some(chosen) = (0..offers.len()).max_by_key(|i| (capacities_left[*i], Reverse(*i))) else { break };
-        capacities_left[chosen] -= tasks.len() as i64;
+        let most_room = |i: &usize| (offers[*i].room_after(taken[*i]), Reverse(*i));
+        let Some(chosen) = (0..offers.len()).max_by_key(most_room) else { break };
+        taken[chosen] += tasks.len() as i64;
         let member = offers[chosen].member;
         let mut from = 0;
         if let Some(last) = ranges.last_mut() {
--- a/src/coordination/shards/tests.rs
+++ b/src/coordination/shards/tests.rs
@@ -12,11 +12,11 @@
     spec.cores = 1.0;
     spec.task_count = 30;
     let members = ["a", "b", "c"].map(String::from);
-    let queues = BTreeMap::from([("a".to_string(), 40.0), ("b".to_string(), 5.0)]);
+    let queues = [("a", 40.0), ("b", 5.0)].map(|(m, cores)| (m.to_string(), ShardQueue::competing(cores))).into();
     let inputs = AssignmentInputs {
         members: &members,
         capacities: &[],
-        queued_cores: &queues,
+        queues: &queues,
         tasks_per_record: 10,
         tasks_by_zone: &BTreeMap::new(),
         waiting_with_image: &BTreeMap::new(),
@@ -49,7 +49,7 @@
     let inputs = AssignmentInputs {
         members: &members,
         capacities: &capacities,
-        queued_cores: &queues,
+        queues: &queues,
         tasks_per_record: 8,
         tasks_by_zone: &zones,
         waiting_with_image: &waiting_with_image,
@@ -69,13 +69,13 @@
     spec.kind = crate::protocol::user::JobKind::Service;
     let members = ["a", "b", "c"].map(String::from);
     let assignee = |queues: &[(&str, f64)], waiting_with_image: &[(&str, u32)]| {
-        let queues = queues.iter().map(|(m, q)| (m.to_string(), *q)).collect();
+        let queues = queues.iter().map(|(m, q)| (m.to_string(), ShardQueue::competing(*q))).collect();
         let waiting_with_image = waiting_with_image.iter().map(|(m, n)| (m.to_string(), *n)).collect();
         let zones = BTreeMap::new();
         let inputs = AssignmentInputs {
             members: &members,
             capacities: &[],
-            queued_cores: &queues,
+            queues: &queues,
             tasks_per_record: 8,
             tasks_by_zone: &zones,
             waiting_with_image: &waiting_with_image,
--- a/src/state/job.rs
+++ b/src/state/job.rs
@@ -126,6 +126,11 @@
         if self.cancelled() { 0 } else { self.spec.task_count.saturating_sub(self.done + self.placed) }
     }
 
+    /// The highest attempt number that any of the job's tasks has used. It rises with each start.
+    pub fn highest_attempt(&self) -> u64 {
+        self.task_states.values().map(|range| range.rec.highest_attempt).max().unwrap_or(0)
+    }
+
     /// The status of the job as users see it.
     pub fn status(&self) -> Status {
         if self.cancelled() {
--- a/tests/known/fairness.rs
+++ b/tests/known/fairness.rs
@@ -2,7 +2,7 @@
 //! and all jobs finish in the end.
 
 use crate::world::helpers::{done, running, with_spare_machines};
-use crate::world::{Job, SMALL, Size, World, array, s};
+use crate::world::{Job, SMALL, Size, World, array, s, service};
 
 /// A cluster of three controllers with no spare machines in the cloud.
 fn fleet(seed: u64, machines: u32) -> World {
@@ -103,3 +103,57 @@
         assert!(w.jobs["run-903"].cancelled_at.is_some());
     }
 }
+
+/// An array of one task that takes half a machine.
+fn small_job() -> Job {
+    Job { cores: 4.0, ..array(1, 4.0) }
+}
+
+/// Lets users submit eight small jobs from `from_s` on, and asserts that all are done within a minute.
+fn assert_small_jobs_run(w: &mut World, from_s: f64) {
+    for n in 0..8 {
+        w.later(from_s + 0.5 * f64::from(n), move |w| w.submit(&format!("run-8{n}1"), small_job()));
+    }
+    w.run_until(from_s + 64.0);
+    let waiting: Vec<String> = (0..8).map(|n| format!("run-8{n}1")).filter(|uid| !done(w, uid)).collect();
+    assert!(waiting.is_empty(), "seed {}: {waiting:?} wait beside idle machines", w.seed);
+}
+
+/// Guards against jobs that never start while a job that fails on every machine waits for its user:
+/// its waiting tasks counted as the queue of the controllers with machines, so later jobs were
+/// assigned to a controller without any.
+#[test]
+fn jobs_beside_a_failing_job_are_not_assigned_to_a_controller_without_machines() {
+    for seed in 0..4 {
+        let mut w = fleet(9600 + seed, 2);
+        for x in w.workers.values_mut() {
+            x.broken.insert("run-903".into());
+        }
+        w.run_until(10.0);
+        w.submit("run-903", Job { cores: 4.0, ..array(30, 3.0) });
+        assert_small_jobs_run(&mut w, 15.0);
+    }
+}
+
+/// Guards against jobs that wait for the machines of other controllers, on which services run, beside
+/// a controller whose machine is idle: its queue counted although none of it can start, here that
+/// of a job that fails everywhere and that of a team at its limit.
+#[test]
+fn tasks_that_cannot_start_do_not_count_as_a_queue() {
+    for seed in 0..8 {
+        let capped = seed % 2 == 0;
+        let mut w = fleet(9610 + seed, 3);
+        for x in w.workers.values_mut() {
+            x.broken.insert("run-903".into());
+        }
+        w.run_until(10.0);
+        // Services take all of two machines; the team `capped` is at its limit of 8 CPUs with one.
+        w.submit("run-909", Job { cores: 8.0, team: "capped".into(), ..service(1) });
+        w.submit("run-919", Job { cores: 8.0, ..service(1) });
+        w.run_until(20.0);
+        assert_eq!(running(&w, "run-909") + running(&w, "run-919"), 2, "seed {seed}");
+        let team = if capped { "capped" } else { "free" };
+        w.submit("run-903", Job { cores: 4.0, team: team.into(), ..array(30, 3.0) });
+        assert_small_jobs_run(&mut w, 25.0);
+    }
+}
