The record of a maintenance campaign stays within the store's limit on values

Operators would see a campaign that never begins or never goes on, logged as a refused write: the names of the machines of a wave and the permits share one record, bounded only by the operator's own waves and budgets, and the marks of a wave's machine groups share one transaction.

Fix: a wave takes at most half of a value, counted as JSON, and permits a quarter; what is left for later comes in further waves and steps. Machine groups that would exceed the transaction are marked in a later one, as it was for those beyond the number of changes.

--- a/src/controller/journal/mod.rs
+++ b/src/controller/journal/mod.rs
@@ -291,7 +291,7 @@
 }
 
 /// The largest size of a value in the store, in bytes.
-fn max_value_bytes(settings: &Settings) -> usize {
+pub(super) fn max_value_bytes(settings: &Settings) -> usize {
     (settings.deployment.state.value_kb * BYTES_PER_KB) as usize
 }
 
--- a/src/controller/maintenance.rs
+++ b/src/controller/maintenance.rs
@@ -3,12 +3,15 @@
 
 #![warn(missing_docs)]
 
+use super::journal::max_value_bytes;
 use super::*;
+use crate::coordination::log_writer::MAX_VALUES_BYTES;
 use crate::maintenance::budget::TeamReplicas;
 use crate::maintenance::campaign::{
-    Campaign, Candidate, DisruptionPermit, MaintenanceRecord, Step, WaitReason, next_step,
+    Campaign, Candidate, DisruptionPermit, MaintenanceRecord, Step, StepLimits, WaitReason, next_step,
 };
 use crate::placement::{MachineCapacity, zone_capacity};
+use crate::protocol::encode;
 use crate::protocol::store::{Condition, Op};
 use crate::protocol::user::JobKind;
 use crate::state::Job;
@@ -80,8 +83,9 @@
         let remaining = self.candidates(&campaign, &rec.last_machine);
         let teams = self.replicas_by_team(&rec);
         let budget = |team: &str| self.config.operator.budget.get(team).copied().unwrap_or_default();
-        let Step { wave, permits, finished, wait } =
-            next_step(&rec, &campaign, &remaining, &teams, budget, MAX_PERMITS_PER_STEP);
+        let longest_name = remaining.iter().map(|candidate| candidate.name.len()).max().unwrap_or(0);
+        let limits = StepLimits::for_record(max_value_bytes(&self.config), longest_name, MAX_PERMITS_PER_STEP);
+        let Step { wave, permits, finished, wait } = next_step(&rec, &campaign, &remaining, &teams, budget, limits);
         if self.maintenance.logged_wait != wait {
             tracing::info!(campaign = %name, waves = rec.finished_waves, gone = rec.machines_gone, left = remaining.len(), ?wait, "campaign progress");
             self.maintenance.logged_wait = wait;
@@ -203,8 +207,12 @@
             }
         }
         let max_groups = self.config.deployment.state.txn_ops - 1;
+        let mut bytes_left = MAX_VALUES_BYTES.saturating_sub(encode(&rec).len());
         for (index, (group, names)) in machine_groups.iter().enumerate() {
             let change = (index < max_groups).then(|| self.drain_change(group, names, drain)).flatten();
+            let bytes = change.as_ref().map_or(0, |(_, op)| encode(op).len());
+            let change = change.filter(|_| bytes <= bytes_left);
+            bytes_left = bytes_left.saturating_sub(bytes);
             match change {
                 Some((conditions, op)) => {
                     txn.conditions.extend(conditions);
--- a/src/coordination/log_writer.rs
+++ b/src/coordination/log_writer.rs
@@ -46,7 +46,7 @@
 /// rest.
 const VALUES_FRACTION: f64 = 0.75;
 /// The largest total size of a transaction's values.
-const MAX_VALUES_BYTES: usize = (MAX_TXN_BYTES as f64 * VALUES_FRACTION) as usize;
+pub const MAX_VALUES_BYTES: usize = (MAX_TXN_BYTES as f64 * VALUES_FRACTION) as usize;
 
 /// The largest size of a segment, and of all checkpoints that are written with it in one
 /// transaction. `value_limit` is the largest size of a single value; all sizes are in bytes.
--- a/src/maintenance/campaign.rs
+++ b/src/maintenance/campaign.rs
@@ -141,15 +141,45 @@
     pub wait: Option<WaitReason>,
 }
 
+/// The largest step that one write of the record can hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StepLimits {
+    /// The number of machines in a wave.
+    pub wave_machines: usize,
+    /// The number of permits that are issued in the step.
+    pub new_permits: usize,
+    /// The number of permits in the record, those of earlier steps included.
+    pub permits: usize,
+}
+
+/// The bytes that one name takes in the record beside itself: quotes and a comma.
+const NAME_OVERHEAD_BYTES: usize = 3;
+/// The bytes that one permit takes beside the name of its machine, with the longest job id and
+/// numbers.
+const PERMIT_BYTES: usize = 100;
+
+impl StepLimits {
+    /// The limits for a record of at most `value_bytes`, counted as JSON, and machine names of at
+    /// most `name_bytes`: half of it for the wave, a quarter for permits, and the rest for the names
+    /// of campaigns.
+    pub fn for_record(value_bytes: usize, name_bytes: usize, new_permits: usize) -> StepLimits {
+        StepLimits {
+            wave_machines: (value_bytes / 2 / (name_bytes + NAME_OVERHEAD_BYTES)).max(1),
+            new_permits,
+            permits: (value_bytes / 4 / (name_bytes + PERMIT_BYTES)).max(1),
+        }
+    }
+}
+
 /// The next step of a campaign. `remaining` holds all existing machines that the campaign
-/// selects, including those of the current wave. At most `max_permits` permits are issued.
+/// selects, including those of the current wave.
 pub fn next_step(
     rec: &MaintenanceRecord,
     campaign: &Campaign,
     remaining: &[Candidate],
     teams: &BTreeMap<String, TeamReplicas>,
     budget: impl Fn(&str) -> DisruptionBudget,
-    max_permits: usize,
+    limits: StepLimits,
 ) -> Step {
     let mut step = Step::default();
     if rec.wave.is_empty() {
@@ -171,13 +201,14 @@
             let by_replicas = a.replicas.len().cmp(&b.replicas.len());
             by_replicas.then(a.array_cores.total_cmp(&b.array_cores)).then_with(|| a.name.cmp(&b.name))
         });
-        drainable.truncate(campaign.next_wave_size(rec.finished_waves));
+        drainable.truncate(campaign.next_wave_size(rec.finished_waves).min(limits.wave_machines));
         if drainable.is_empty() {
             step.wait = Some(WaitReason::NoDrainableMachine(remaining.len()));
         }
         step.wave = drainable.into_iter().map(|c| c.name.clone()).collect();
         return step;
     }
+    let max_permits = limits.new_permits.min(limits.permits.saturating_sub(rec.permits.len()));
     let mut issued: BTreeMap<&str, u32> = BTreeMap::new();
     let wave = || remaining.iter().filter(|c| rec.wave.contains(&c.name));
     for (permit, team) in wave().flat_map(|c| &c.replicas) {
--- a/src/maintenance/campaign/tests.rs
+++ b/src/maintenance/campaign/tests.rs
@@ -13,7 +13,8 @@
 
 fn step(rec: &MaintenanceRecord, remaining: &[Candidate], wanted: u32, away: u32, budget: DisruptionBudget) -> Step {
     let teams = BTreeMap::from([("t".to_string(), TeamReplicas { wanted, away })]);
-    next_step(rec, &Campaign::default(), remaining, &teams, |_| budget, 10)
+    let limits = StepLimits { wave_machines: 10, new_permits: 10, permits: 100 };
+    next_step(rec, &Campaign::default(), remaining, &teams, |_| budget, limits)
 }
 
 #[test]
@@ -58,3 +59,27 @@
     let s = step(&MaintenanceRecord::default(), &left, 9, 4, one);
     assert_eq!((s.wave.len(), s.wait), (0, Some(WaitReason::BudgetUsedUp("t".into()))));
 }
+
+/// Guards against a campaign that never begins or never goes on, because its record exceeds the
+/// store's limit on values: the operator's waves and budgets may be of any size.
+#[test]
+fn a_large_wave_of_a_campaign_fits_its_record() {
+    let value_bytes = 8 * 1024;
+    let name = |n: u32| format!("host-{n:06}");
+    let job = "run-123456789012345678";
+    let permit = |n: u32| DisruptionPermit { job: job.into(), index: n, attempt: 9_999_999_999, machine: name(n) };
+    let candidate = |n| Candidate { replicas: vec![(permit(n), "t".into())], ..machine(&name(n), 0..0) };
+    let remaining: Vec<Candidate> = (90_000..91_000).map(candidate).collect();
+    let campaign = Campaign { first_wave_size: 1_000, max_wave_size: 1_000, ..Campaign::default() };
+    let teams = BTreeMap::from([("t".to_string(), TeamReplicas { wanted: 1_000, away: 0 })]);
+    let budget = DisruptionBudget { max_away: 1_000, max_away_share: 0.0 };
+    let limits = StepLimits::for_record(value_bytes, name(0).len(), 1_000);
+    let next = |rec: &MaintenanceRecord| next_step(rec, &campaign, &remaining, &teams, |_| budget, limits);
+    let mut rec = MaintenanceRecord { name: "replace-all".into(), ..MaintenanceRecord::default() };
+    rec.wave = next(&rec).wave;
+    rec.permits = next(&rec).permits;
+    assert!(rec.wave.len() > 200 && rec.permits.len() > 10, "{} and {}", rec.wave.len(), rec.permits.len());
+    assert_eq!(next(&rec).permits, []);
+    let bytes = serde_json::to_vec(&rec).unwrap().len();
+    assert!(bytes <= value_bytes, "{bytes} bytes");
+}
--- a/tests/models/maintenance.rs
+++ b/tests/models/maintenance.rs
@@ -9,7 +9,9 @@
 #![warn(missing_docs)]
 
 use finchquay::maintenance::budget::{DisruptionBudget, TeamReplicas};
-use finchquay::maintenance::campaign::{Campaign, Candidate, DisruptionPermit, MaintenanceRecord, next_step};
+use finchquay::maintenance::campaign::{
+    Campaign, Candidate, DisruptionPermit, MaintenanceRecord, StepLimits, next_step,
+};
 use finchquay_explorer::Model;
 use std::collections::BTreeMap;
 
@@ -105,7 +107,7 @@
             &left,
             &teams,
             |_| DisruptionBudget { max_away: 1, max_away_share: 0.0 },
-            REPLICAS,
+            StepLimits { wave_machines: left.len(), new_permits: REPLICAS, permits: REPLICAS },
         );
         for t in step.permits {
             permits[t.index as usize] = true;
