--- a/src/coordination/shards/tests.rs
+++ b/src/coordination/shards/tests.rs
@@ -32,6 +32,29 @@
     assert_eq!(assign_task_ranges(&spec, &waiting, &inputs, "a", true)[0].member, "c");
 }
 
+/// Guards against tasks that wait in a short queue while a shard with a long one has room that its
+/// queue cannot use: they get that room first, and only what is left goes to the short queue.
+#[test]
+fn room_that_a_queue_cannot_use_is_assigned_before_shorter_queues() {
+    let spec = JobSpec { task_count: 6, cores: 1.0, ..JobSpec::example("run-1") };
+    let members = ["a", "b"].map(String::from);
+    let capacities = [("a".to_string(), crate::placement::tests::capacity("m", 2.0, ""))];
+    let assigned = |queue: ShardQueue| -> u32 {
+        let inputs = AssignmentInputs {
+            members: &members,
+            capacities: &capacities,
+            queues: &BTreeMap::from([("a".to_string(), queue)]),
+            tasks_per_record: 1,
+            tasks_by_zone: &BTreeMap::new(),
+            waiting_with_image: &BTreeMap::new(),
+        };
+        let ranges = assign_task_ranges(&spec, &[0, 1, 2, 3, 4, 5], &inputs, "b", false);
+        ranges.iter().filter(|range| range.member == "a").map(|range| range.to - range.from + 1).sum()
+    };
+    assert_eq!(assigned(ShardQueue { competing_cores: 0.0, backlog_cores: 100.0 }), 2);
+    assert_eq!(assigned(ShardQueue::competing(100.0)), 0);
+}
+
 /// A shard with much room in a single zone cannot hold a job that must be spread over zones, and
 /// a shard with little room in each zone cannot hold a gang that must run in one zone.
 #[test]
