One place for rewrites of a machine group, and for the attempt that a command names

Three places rewrote the record of a machine group under its current grant on the same two conditions (giving up a grant, drain marks, released machines), and three took the attempt from a command.

--- a/src/controller/agents/grant_renewal.rs
+++ b/src/controller/agents/grant_renewal.rs
@@ -2,7 +2,7 @@
 
 use crate::controller::Controller;
 use crate::controller::transactions::TxnPurpose;
-use crate::protocol::store::{Condition, Op, Txn};
+use crate::protocol::store::{Op, Txn};
 use crate::state::records::{self, MachineGroupRecord};
 use std::collections::BTreeSet;
 
@@ -21,16 +21,10 @@
 
     /// Gives up the grant of one machine group, unless its record is being written.
     fn give_up_grant(&mut self, group: &str) {
-        let key = records::machine_group_key(group);
-        let Some(stored) = self.state.machine_groups.get(group) else { return };
-        if self.transactions.is_locked(&key) || !self.may_write(1.0) {
-            return;
-        }
-        let given_up =
-            MachineGroupRecord { incarnation: records::NO_INCARNATION, ..self.state.with_current_grant(stored) };
-        let unchanged = Condition { key: key.clone(), version: stored.version };
-        let conditions = vec![unchanged, self.shard_condition_of(&stored.rec.owner)];
-        let ops = vec![Op::Put { key, data: records::to_value(&given_up), lease: None }];
+        let Some(rewrite) = self.group_rewrite(group).filter(|_| self.may_write(1.0)) else { return };
+        let given_up = MachineGroupRecord { incarnation: records::NO_INCARNATION, ..rewrite.record };
+        let conditions = rewrite.conditions.into();
+        let ops = vec![Op::Put { key: rewrite.key, data: records::to_value(&given_up), lease: None }];
         tracing::info!(%group, term = given_up.term, epoch = given_up.epoch, "fencing token exhausted, grant given up");
         self.transact_locking_machines(Txn { conditions, ops }, TxnPurpose::GiveUpGrant);
     }
--- a/src/controller/agents/release.rs
+++ b/src/controller/agents/release.rs
@@ -7,7 +7,7 @@
 use crate::effects::{NoAnswer, Reply, Target};
 use crate::protocol::cloud::{RELEASE_PATH, ReleaseRequest};
 use crate::protocol::encode;
-use crate::protocol::store::{Condition, Op, Txn};
+use crate::protocol::store::{Op, Txn};
 use crate::state::records;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -127,17 +127,14 @@
 
     /// Removes machines from the record of their group, unless that is being written already.
     fn remove_from_group(&mut self, group: &str, names: &[String]) {
-        let key = records::machine_group_key(group);
-        let Some(record) = self.state.machine_groups.get(group) else { return };
-        if record.version > self.state.revision || self.transactions.is_locked(&key) || !self.may_write(1.0) {
-            return;
-        }
-        let op = match self.state.with_current_grant(record).without_machines(names) {
-            Some(remaining) => Op::Put { key: key.clone(), data: records::to_value(&remaining), lease: None },
-            None => Op::Delete { key: key.clone() },
+        let is_applied =
+            self.state.machine_groups.get(group).is_some_and(|stored| stored.version <= self.state.revision);
+        let Some(rewrite) = self.group_rewrite(group).filter(|_| is_applied && self.may_write(1.0)) else { return };
+        let op = match rewrite.record.without_machines(names) {
+            Some(remaining) => Op::Put { key: rewrite.key, data: records::to_value(&remaining), lease: None },
+            None => Op::Delete { key: rewrite.key },
         };
-        let unchanged = Condition { key, version: record.version };
-        let conditions = vec![unchanged, self.shard_condition_of(&record.rec.owner)];
+        let conditions = rewrite.conditions.into();
         self.transact_locking_machines(Txn { conditions, ops: vec![op] }, TxnPurpose::Forget);
     }
 }
--- a/src/controller/autoscaler/scale_in.rs
+++ b/src/controller/autoscaler/scale_in.rs
@@ -4,6 +4,7 @@
 #![warn(missing_docs)]
 
 use super::*;
+use crate::controller::sharding::GroupRewrite;
 use crate::placement::MachineCapacity;
 use crate::protocol::cloud::{MAX_MACHINES_PER_RELEASE, Phase};
 use crate::protocol::store::{Condition, Op};
@@ -272,15 +273,11 @@
         names: &[String],
         drain: bool,
     ) -> Option<([Condition; 2], Op)> {
-        let key = records::machine_group_key(group);
-        let stored = self.state.machine_groups.get(group).filter(|_| !self.transactions.is_locked(&key))?;
-        let mut rec = self.state.with_current_grant(stored);
-        rec.draining.retain(|name| !names.contains(name));
+        let GroupRewrite { key, mut record, conditions } = self.group_rewrite(group)?;
+        record.draining.retain(|name| !names.contains(name));
         if drain {
-            rec.draining.extend_from_slice(names);
+            record.draining.extend_from_slice(names);
         }
-        let conditions =
-            [Condition { key: key.clone(), version: stored.version }, self.shard_condition_of(&stored.rec.owner)];
-        Some((conditions, Op::Put { key, data: records::to_value(&rec), lease: None }))
+        Some((conditions, Op::Put { key, data: records::to_value(&record), lease: None }))
     }
 }
--- a/src/controller/sharding.rs
+++ b/src/controller/sharding.rs
@@ -42,6 +42,17 @@
     }
 }
 
+/// A machine group's record as it may be rewritten: under its current grant, on condition that
+/// neither the record nor the grant of its owner's shard has changed.
+pub(super) struct GroupRewrite {
+    /// Key of the record.
+    pub(super) key: String,
+    /// The record with the current grant.
+    pub(super) record: MachineGroupRecord,
+    /// The conditions of the write.
+    pub(super) conditions: [Condition; 2],
+}
+
 /// How long shards are not rebalanced after machines were brought together for a gang, in
 /// heartbeat intervals.
 const REBALANCE_PAUSE_AFTER_GANG_HEARTBEATS: f64 = 3.0;
@@ -153,6 +164,16 @@
         }
     }
 
+    /// The record of a machine group for a rewrite. `None` if the group has no record, or while
+    /// another write of its record is in flight.
+    pub(super) fn group_rewrite(&self, group: &str) -> Option<GroupRewrite> {
+        let key = records::machine_group_key(group);
+        let stored = self.state.machine_groups.get(group).filter(|_| !self.transactions.is_locked(&key))?;
+        let unchanged = Condition { key: key.clone(), version: stored.version };
+        let conditions = [unchanged, self.shard_condition_of(&stored.rec.owner)];
+        Some(GroupRewrite { key, record: self.state.with_current_grant(stored), conditions })
+    }
+
     /// Moves that bring machines into one shard, so that a gang fits there that waits and fits into
     /// no shard. They are of one zone if the gang needs that. One gang is served at a time, oldest
     /// first.
--- a/src/coordination/machine/commands.rs
+++ b/src/coordination/machine/commands.rs
@@ -27,6 +27,12 @@
     kind: PushedKind,
 }
 
+/// The attempt of a task that a command names. `None` if the name of the task is malformed.
+pub(super) fn named_attempt(task: &str, attempt: u64) -> Option<AttemptKey> {
+    let id = TaskId::parse(task)?;
+    Some((id.job, id.index, attempt))
+}
+
 impl PushedCommand {
     /// Identifies a command. Returns `None` for commands that are never pushed and for malformed
     /// task names.
@@ -36,8 +42,7 @@
             Command::Kill { task, attempt, .. } => (task, *attempt, PushedKind::Kill),
             Command::Forget { .. } => return None,
         };
-        let id = TaskId::parse(task)?;
-        Some(PushedCommand { attempt: (id.job, id.index, attempt), kind })
+        Some(PushedCommand { attempt: named_attempt(task, attempt)?, kind })
     }
 }
 
--- a/src/coordination/machine/outstanding.rs
+++ b/src/coordination/machine/outstanding.rs
@@ -12,7 +12,8 @@
 #![warn(missing_docs)]
 
 use super::AttemptKey;
-use crate::protocol::worker::{Command, TaskId};
+use super::commands::named_attempt;
+use crate::protocol::worker::Command;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The attempts that messages may still start, whether or not these were answered.
@@ -76,7 +77,6 @@
 fn started_attempts(commands: &[Command]) -> impl Iterator<Item = AttemptKey> {
     commands.iter().filter_map(|command| {
         let Command::Run { task, attempt } = command else { return None };
-        let id = TaskId::parse(task)?;
-        Some((id.job, id.index, *attempt))
+        named_attempt(task, *attempt)
     })
 }
--- a/src/coordination/machine/token_raises.rs
+++ b/src/coordination/machine/token_raises.rs
@@ -3,10 +3,11 @@
 
 #![warn(missing_docs)]
 
+use super::commands::named_attempt;
 use super::{AttemptKey, Machine};
 use crate::coordination::fencing_token::{FencingToken, MAX_COUNTER};
 use crate::effects::Instant;
-use crate::protocol::worker::{Command, TaskId};
+use crate::protocol::worker::Command;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -97,6 +98,5 @@
 /// The attempt that the command tells the agent to forget, if it does.
 fn forgotten_attempt(command: &Command) -> Option<AttemptKey> {
     let Command::Forget { task, attempt } = command else { return None };
-    let id = TaskId::parse(task)?;
-    Some((id.job, id.index, *attempt))
+    named_attempt(task, *attempt)
 }
