Waiting tasks compete for a shard's room as long as one of their job fits there

The reassignment counted the queue of a job only as far as the free room holds its tasks.

Now a job's tasks count in full where at least one of them fits, and not at all where none does, which is what the fault was about.

--- a/src/controller/reassignment.rs
+++ b/src/controller/reassignment.rs
@@ -2,8 +2,8 @@
 //!
 //! Tasks are reassigned if their controller is gone, if it has no machine that could ever run
 //! them, or if it has no room for them while another controller has. Of the tasks that already
-//! wait at a controller, only those count against its room that could start there: not those for
-//! which the room is unsuitable or whose team is at its limit, and not those of stalled jobs.
+//! wait at a controller, only those count against its room that compete for it: not those of which
+//! none fits there now or whose team is at its limit, and not those of stalled jobs.
 
 #![warn(missing_docs)]
 
@@ -74,14 +74,18 @@
     fn queues_of_tasks(&self, admitted: f64) -> Queues {
         let mut queues = Queues::new();
         for (member, tasks) in waiting_tasks_by_controller(self.job) {
-            // Machines are reserved for a gang that finds no room, so all of it counts.
-            let is_gang = self.job.spec.kind == JobKind::Gang;
-            let startable = if is_gang { tasks } else { f64::from(self.room_at(member)) };
-            let queue = ShardQueue::of_tasks(tasks, startable.min(admitted), self.job.spec.cores);
+            let startable = if self.competes_at(member) { admitted } else { 0.0 };
+            let queue = ShardQueue::of_tasks(tasks, startable, self.job.spec.cores);
             queues.entry(member.to_string()).or_default().add(queue);
         }
         queues
     }
+
+    /// Whether its tasks compete for the room in the controller's shard: one of them could start
+    /// there now. Machines are reserved for a gang that finds no room, so it always does.
+    fn competes_at(&self, member: &str) -> bool {
+        self.job.spec.kind == JobKind::Gang || self.room_at(member) > 0
+    }
 }
 
 /// The number of the job's tasks, of those with these indices, that each controller has to start.
@@ -267,14 +271,15 @@
     queues
 }
 
-/// What the job adds to the queues once its waiting tasks are reassigned: they may take room there.
+/// What the job adds to the queues once its waiting tasks are reassigned: they compete for the room
+/// there.
 fn moved_queues(entry: &QueuedJob, task_ranges: &[TaskRange]) -> Queues {
     let job = entry.job;
     let share = f64::from(job.waiting_count()) / f64::from(job.spec.task_count.max(1));
     let mut queues = Queues::new();
     for range in task_ranges {
         let tasks = f64::from(range.to - range.from + 1) * share;
-        let startable = f64::from(entry.room_at(&range.member));
+        let startable = if entry.competes_at(&range.member) { tasks } else { 0.0 };
         let queue = ShardQueue::of_tasks(tasks, startable, job.spec.cores);
         queues.entry(range.member.clone()).or_default().add(queue);
     }
