The settings know the interval between two ticks

Refactoring: the interval moves from the event loop to the settings of the workers that it follows from, so that the controller's logic can use it too. No change of behaviour: same ratios, same bounds.

--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -4,9 +4,11 @@
 #![warn(missing_docs)]
 
 use super::{Operator, SettingsError, read_file};
+use crate::protocol::time::duration_from_secs;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 /// Settings of one controller: those of the platform's file and those of the operator's.
 #[derive(Debug, Clone, Deserialize)]
@@ -126,6 +128,22 @@
     pub cancel_s: f64,
 }
 
+/// Number of ticks per heartbeat interval of the workers, as far as [`MIN_TICK_S`] and
+/// [`MAX_TICK_S`] allow.
+const TICKS_PER_HEARTBEAT: f64 = 100.0;
+/// Minimum time between two ticks, in seconds.
+const MIN_TICK_S: f64 = 0.01;
+/// Maximum time between two ticks, in seconds.
+const MAX_TICK_S: f64 = 0.05;
+
+impl Workers {
+    /// The time between two ticks of the controller.
+    pub fn tick_interval(&self) -> Duration {
+        let tick_s = self.heartbeat_interval_s / TICKS_PER_HEARTBEAT;
+        duration_from_secs(tick_s.clamp(MIN_TICK_S, MAX_TICK_S))
+    }
+}
+
 /// Limits of the store.
 #[derive(Debug, Clone, Deserialize)]
 pub struct StateLimits {
--- a/src/transport/event_loop.rs
+++ b/src/transport/event_loop.rs
@@ -4,7 +4,7 @@
 use super::listeners::{Listeners, PEER_LISTENER, USER_LISTENER};
 use super::network::Network;
 use super::operator_file::OperatorFile;
-use crate::config::{Settings, Workers};
+use crate::config::Settings;
 use crate::controller::Controller;
 use crate::effects::{Action, Event, Instant};
 use crate::protocol::time::duration_from_secs;
@@ -15,13 +15,6 @@
 
 /// Maximum number of socket events that one poll returns.
 const EVENT_CAPACITY: usize = 256;
-/// Number of ticks per heartbeat interval of the workers, as far as [`MIN_TICK_S`] and
-/// [`MAX_TICK_S`] allow.
-const TICKS_PER_HEARTBEAT: f64 = 100.0;
-/// Minimum time between two ticks, in seconds.
-const MIN_TICK_S: f64 = 0.01;
-/// Maximum time between two ticks, in seconds.
-const MAX_TICK_S: f64 = 0.05;
 
 /// Runs a controller until the process is killed or an I/O error occurs. The operator file at
 /// `operator_path` is read again whenever it changes.
@@ -38,12 +31,6 @@
     }
 }
 
-/// Returns the time between two ticks of the controller.
-fn tick_interval(workers: &Workers) -> Duration {
-    let tick_s = workers.heartbeat_interval_s / TICKS_PER_HEARTBEAT;
-    duration_from_secs(tick_s.clamp(MIN_TICK_S, MAX_TICK_S))
-}
-
 /// The controller, its connections, and the time of the next tick.
 struct EventLoop {
     network: Network,
@@ -61,7 +48,7 @@
     /// Creates the controller and its network, on listeners that are already bound.
     fn new(settings: Settings, operator_path: Option<PathBuf>, poll: Poll, listeners: Listeners) -> EventLoop {
         let workers = &settings.deployment.workers;
-        let tick_interval = tick_interval(workers);
+        let tick_interval = workers.tick_interval();
         let heartbeat_interval = duration_from_secs(workers.heartbeat_interval_s);
         let operator_file =
             operator_path.map(|path| OperatorFile::new(path, settings.deployment.teams.clone(), heartbeat_interval));
