Log how many reads and answers requests of users take

Nothing told how many reads of the store the answers to users cost, nor how many requests were refused for want of a read, so two ways of proving an answer could not be compared. Each controller counts both and logs them with its summary, at debug. No change of what is sent.

--- a/src/controller/api.rs
+++ b/src/controller/api.rs
@@ -22,9 +22,33 @@
     retry_after: RetryAfter,
     /// The result of the last health check.
     was_healthy: Option<bool>,
+    /// What was answered since the last summary.
+    summary: ApiSummary,
+}
+
+/// What happened to requests about jobs since the last summary.
+#[derive(Debug, Default)]
+struct ApiSummary {
+    /// Reads of the store that were sent to prove the replica fresh.
+    reads: u64,
+    /// Answers to requests that had waited for a read or a write, by kind.
+    answers: BTreeMap<Answer, u64>,
+    /// Requests that were refused because their deadline had passed.
+    expired: usize,
 }
 
 impl Api {
+    /// Counts a read of the store that proves the replica fresh.
+    pub(super) fn count_read(&mut self) {
+        self.summary.reads += 1;
+    }
+
+    /// Logs what happened since the last summary, and resets it.
+    pub(super) fn log_summary(&mut self) {
+        let ApiSummary { reads, answers, expired } = std::mem::take(&mut self.summary);
+        tracing::debug!(reads, ?answers, expired, "reads and answers to users");
+    }
+
     /// Whether requests wait for a read of the store to be sent.
     pub(super) fn awaits_read(&self) -> bool {
         self.requests.any_awaits_read()
@@ -245,6 +269,7 @@
     /// Sends the answers to requests.
     fn send_answers(&mut self, answered: Vec<(Request, Answer)>) {
         for (request, answer) in answered {
+            *self.api.summary.answers.entry(answer).or_default() += 1;
             match answer {
                 Answer::Accepted => {
                     let state = JobState { uid: request.uid.into(), status: Status::Queued, done: 0, running: 0 };
@@ -264,6 +289,7 @@
     pub(super) fn answer_due_requests(&mut self) {
         let replica = &self.state;
         let answered = self.api.requests.expire(self.now, |uid| known_status(replica, uid));
+        self.api.summary.expired += answered.iter().filter(|(_, answer)| *answer == Answer::RetryLater).count();
         self.answer_and_cancel(answered);
     }
 
--- a/src/controller/service_levels.rs
+++ b/src/controller/service_levels.rs
@@ -120,6 +120,7 @@
     fn log_calls(&mut self) {
         self.transactions.log_summary();
         self.agents.log_summary();
+        self.api.log_summary();
         let failed = self.retry.take_counts();
         if !failed.is_empty() {
             tracing::debug!(?failed, "failed calls");
--- a/src/controller/store_sync.rs
+++ b/src/controller/store_sync.rs
@@ -192,6 +192,7 @@
             return;
         }
         self.store.begin_barrier(now);
+        self.api.count_read();
         self.answer_requests(RequestEvent::ReadSent);
         let path = store::key_path(records::BARRIER_KEY);
         let timeout = self.heartbeat_intervals(BARRIER_TIMEOUT_INTERVALS);
--- a/src/requests/transitions.rs
+++ b/src/requests/transitions.rs
@@ -81,7 +81,7 @@
 }
 
 /// How a request is answered.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Answer {
     /// 201: the job was accepted by this controller's write.
     Accepted,
