After a suspension a read follows the write that accepted a job

What callers saw: a user whose first submission got no answer in time repeated it at another controller, cancelled the job there and was told `withdrawn`.

That the write was carried out proves that the job was accepted then; the answer takes it as the job's status now.

Evidence: the new test suspends the controller at each step of a submission, for 0.05 to 60 s, while the job is cancelled elsewhere.

Fix: a submission that waits for its write through a suspension waits for a read after it (`Stage::WritingInterrupted`); the table's tests hold every combination of it. A write that was not carried out is answered as before, and a cancellation too: its outcome is final. Without a suspension nothing changes.

--- a/src/requests/tests.rs
+++ b/src/requests/tests.rs
@@ -7,7 +7,8 @@
 
 const KINDS: [RequestKind; 4] =
     [RequestKind::Submit, RequestKind::SubmitImpossible, RequestKind::Status, RequestKind::Cancel];
-const STAGES: [Stage; 4] = [Stage::Queued, Stage::Reading, Stage::AwaitingRevision(7), Stage::Writing];
+const STAGES: [Stage; 5] =
+    [Stage::Queued, Stage::Reading, Stage::AwaitingRevision(7), Stage::Writing, Stage::WritingInterrupted];
 const KNOWN: [KnownStatus; 4] = [KnownStatus::Unknown, KnownStatus::Queued, KnownStatus::Running, KnownStatus::Ended];
 const EVENTS: [Event; 11] = [
     Event::ReadSent,
@@ -88,6 +89,8 @@
         if event == Event::Resumed {
             let uses_read = matches!(next, Transition::Stage(Stage::Reading | Stage::AwaitingRevision(_)));
             assert!(!uses_read && !matches!(next, Transition::Answer(_)), "{combination}");
+            let awaits_acceptance = kind == RequestKind::Submit && next == Transition::Stage(Stage::Writing);
+            assert!(!awaits_acceptance, "{combination}");
         }
         // No request waits beyond its deadline.
         assert!(event != Event::DeadlinePassed || next == Transition::Answer(Answer::RetryLater), "{combination}");
@@ -102,9 +105,10 @@
         let concerns = match (stage, event) {
             (_, Event::DeadlinePassed)
             | (Stage::Queued, Event::ReadSent)
-            | (Stage::Writing, Event::WriteOutcome(_)) => true,
+            | (Stage::Writing | Stage::WritingInterrupted, Event::WriteOutcome(_)) => true,
             (Stage::Reading, Event::Read(_) | Event::ReadFailed) => true,
             (Stage::Reading | Stage::AwaitingRevision(_), Event::Resumed) => true,
+            (Stage::Writing, Event::Resumed) => kind == RequestKind::Submit,
             (Stage::AwaitingRevision(n), Event::ReplicaAt(r)) => r >= n,
             (Stage::Writing, Event::ReplicaAt(_)) => kind == RequestKind::Cancel && known == KnownStatus::Unknown,
             _ => false,
--- a/src/requests/transitions.rs
+++ b/src/requests/transitions.rs
@@ -5,7 +5,8 @@
 //! - The final status of a job is answered as soon as it is known. Any other status is answered
 //!   only after a read that was sent after the request arrived, or because of this controller's
 //!   own write for that request.
-//! - A read that was sent before a suspension of the process answers nothing after it.
+//! - A read or a write that was sent before a suspension of the process answers nothing after it,
+//!   unless it shows the final status.
 //! - That a job is unknown is answered only after such a read.
 //! - A request that is not answered by its deadline is answered with a retry time.
 
@@ -36,6 +37,9 @@
     /// It waits for this controller's own write for the request, whose outcome decides the
     /// answer.
     Writing,
+    /// It waits for this controller's own write for the request, and the process was suspended
+    /// meanwhile. Later changes may have been answered elsewhere, so a read follows the write.
+    WritingInterrupted,
 }
 
 /// What the replica knows of a job.
@@ -119,11 +123,14 @@
     match (stage, event) {
         (_, Event::DeadlinePassed) => Transition::Answer(Answer::RetryLater),
         (Stage::Reading | Stage::AwaitingRevision(_), Event::Resumed) => Transition::Stage(Stage::Queued),
+        // The outcome of a cancellation is final.
+        (Stage::Writing, Event::Resumed) if kind == RequestKind::Submit => Transition::Stage(Stage::WritingInterrupted),
         (Stage::Queued, Event::ReadSent) => Transition::Stage(Stage::Reading),
         (Stage::Reading, Event::Read(revision)) => Transition::Stage(Stage::AwaitingRevision(revision)),
         (Stage::Reading, Event::ReadFailed) => Transition::Answer(Answer::RetryLater),
         (Stage::AwaitingRevision(needed), Event::ReplicaAt(applied)) if applied >= needed => after_read(kind, known),
-        (Stage::Writing, Event::WriteOutcome(outcome)) => after_write(kind, outcome, known),
+        (Stage::WritingInterrupted, Event::WriteOutcome(WriteOutcome::Done)) => Transition::Stage(Stage::Queued),
+        (Stage::Writing | Stage::WritingInterrupted, Event::WriteOutcome(outcome)) => after_write(kind, outcome, known),
         // The replica is being read again and may not have the job that is to be cancelled yet.
         (Stage::Writing, Event::ReplicaAt(_)) if kind == RequestKind::Cancel && known == KnownStatus::Unknown => {
             Transition::Stage(Stage::Queued)
--- a/tests/meetings/suspensions.rs
+++ b/tests/meetings/suspensions.rs
@@ -8,7 +8,7 @@
 /// Lengths of suspensions, in seconds: from little more than two ticks to several leases.
 const SUSPENSIONS_S: [f64; 8] = [0.05, 0.1, 0.4, 1.2, 1.9, 5.0, 15.0, 60.0];
 /// Steps of a user's request at which its controller is suspended, in milliseconds after it was sent.
-const STEPS_MS: [u32; 12] = [3, 6, 9, 12, 15, 18, 21, 24, 27, 30, 33, 36];
+const STEPS_MS: [u32; 16] = [1, 2, 3, 4, 5, 6, 8, 10, 12, 15, 18, 21, 24, 27, 30, 33];
 
 /// The id of the job for the step at which a controller is suspended.
 fn uid_of(step_ms: u32) -> String {
@@ -82,7 +82,7 @@
         let mut w = start(seed + nth as u64);
         for step_ms in STEPS_MS {
             let uid = uid_of(step_ms);
-            let (node, other) = (step_ms as usize / 3 % 3, (step_ms as usize / 3 + 1) % 3);
+            let (node, other) = (step_ms as usize % 3, (step_ms as usize + 1) % 3);
             send(&mut w, &uid, node);
             run_for(&mut w, f64::from(step_ms) / 1000.0);
             if suspend(&mut w, node, &uid, length_s, |w| meanwhile(w, &uid, other, length_s - 0.02)) {
@@ -127,3 +127,22 @@
     assert!(forgotten.is_empty(), "{} of {polls} polls got 404: {forgotten:?}", forgotten.len());
     assert!(polls > 40, "only {polls} polls waited through a suspension and an acceptance");
 }
+
+/// A controller was suspended while its write for a submission was in flight. Resumed, it answered
+/// the submission with `pending` (`went_back`) after another controller had told the user that the
+/// job is cancelled: that its write was carried out says nothing of what came after it.
+#[test]
+fn a_resumed_controller_accepts_no_job_that_was_cancelled_during_its_suspension() {
+    let (mut submissions, mut answered, mut went_back) = (0, 0, Vec::new());
+    let send = |w: &mut World, uid: &str, node| w.submit_to(uid, &array(1, 1e6), node);
+    suspend_at_each_step(9820, without_jobs, send, cancel_and_confirm, |w, uid, node, length_s| {
+        submissions += 1;
+        let told = w.told.get(&(uid.to_string(), node)).map_or("", String::as_str);
+        if !matches!(told, "" | "withdrawn") {
+            went_back.push(format!("{uid} after {length_s} s: {told}"));
+        }
+        answered += u32::from(told == "withdrawn");
+    });
+    assert!(went_back.is_empty(), "{} of {submissions} went back: {went_back:?}", went_back.len());
+    assert!(answered > 0, "none of {submissions} submissions was answered after a suspension");
+}
