Starts are withheld after a suspension until the replica is confirmed again

What callers saw: a user cancelled a job and was told `withdrawn`; after that a controller that had been suspended went on and started the job's tasks. They were stopped when its watch answered, within `cancel_s`; PROTOCOL has "From then on no task of the job may be started". Seen in the simulated cluster only.

The answer to the write of a placement, and the heartbeats of machines, had waited in the sockets. Both were handled before the first change that the replica lacked, and starts rest on the replica: pushes allow it an age of one heartbeat interval, answers to heartbeats that of `may_act`.

Evidence: the new test suspends controllers for 0.1 to 60 s while placements are being written, and cancels the job at another one meanwhile.

Fix: after a suspension, starts are left out of pushes and of answers to heartbeats until the replica is confirmed by a read, or by all other controllers, that was asked for after it. What was withheld is pushed at once then, one round trip later. While the store is away for all, the others' attestations confirm it. Stops are never withheld.

--- a/src/controller/agents/commands.rs
+++ b/src/controller/agents/commands.rs
@@ -96,13 +96,8 @@
     }
 }
 
-/// Keeps the commands that may be sent now: no task of a wide gang is started before the last
-/// of its placements is stored.
-pub(super) fn without_partly_placed(
-    mut commands: Vec<Command>,
-    state: &ClusterState,
-    settings: &Settings,
-) -> Vec<Command> {
+/// Leaves out starts of tasks of a wide gang before the last of its placements is stored.
+fn without_partly_placed(mut commands: Vec<Command>, state: &ClusterState, settings: &Settings) -> Vec<Command> {
     let must_wait = |uid: &str| state.jobs.get(uid).is_some_and(|job| is_partly_placed(job, settings));
     commands.retain(|command| match command {
         Command::Run { task, .. } => TaskId::parse(task).is_none_or(|id| !must_wait(&id.job)),
@@ -119,17 +114,45 @@
         MachineTasks::of(name, self.agents.machine(name), &self.state, may_run)
     }
 
+    /// The commands that may be sent to the machine now, which has these tasks recorded.
+    ///
+    /// No task is started by what the replica said before a suspension of this process: meanwhile
+    /// users may have been told that the job is cancelled. Such starts are withheld until the
+    /// replica is confirmed again.
+    pub(super) fn sendable_commands(&mut self, name: &str, tasks: &MachineTasks) -> Vec<Command> {
+        let Some(machine) = self.agents.machine(name) else { return Vec::new() };
+        let commands = machine.commands(&tasks.wanted, &tasks.kept);
+        let mut commands = without_partly_placed(commands, &self.state, &self.config);
+        let is_start = |command: &Command| matches!(command, Command::Run { .. });
+        if !commands.iter().any(is_start) || self.is_replica_confirmed_since_resume() {
+            return commands;
+        }
+        self.agents.withheld_starts.insert(name.to_string());
+        commands.retain(|command| !is_start(command));
+        commands
+    }
+
+    /// Pushes the starts that were withheld after a suspension, once the replica is confirmed.
+    pub(in crate::controller) fn push_withheld_starts(&mut self) {
+        if self.agents.withheld_starts.is_empty() || !self.is_replica_confirmed_since_resume() {
+            return;
+        }
+        for name in std::mem::take(&mut self.agents.withheld_starts) {
+            self.push_commands(&name);
+        }
+    }
+
     /// Pushes commands to the agent without waiting for its next heartbeat, where that is safe.
     pub(in crate::controller) fn push_commands(&mut self, name: &str) {
         let Some(addr) = self.push_address(name) else { return };
         let max_silence = self.heartbeat_intervals(MAX_PUSH_SILENCE_INTERVALS);
-        let tasks = self.machine_tasks(name);
-        let Some(machine) = self.agents.machines.get_mut(name) else { return };
-        if machine.heard_at.is_none_or(|at| self.now.saturating_sub(at) > max_silence) {
+        let heard_at = self.agents.machine(name).and_then(|machine| machine.heard_at);
+        if heard_at.is_none_or(|at| self.now.saturating_sub(at) > max_silence) {
             return;
         }
-        let commands = machine.commands(&tasks.wanted, &tasks.kept);
-        let commands = without_partly_placed(commands, &self.state, &self.config);
+        let tasks = self.machine_tasks(name);
+        let commands = self.sendable_commands(name, &tasks);
+        let Some(machine) = self.agents.machines.get_mut(name) else { return };
         self.agents.summary.pushes_held_back += u64::from(!commands.is_empty() && !machine.confirmed());
         let commands = machine.select_pushes(commands);
         if !commands.is_empty() {
--- a/src/controller/agents/heartbeats.rs
+++ b/src/controller/agents/heartbeats.rs
@@ -180,12 +180,8 @@
     fn respond_with_commands(&mut self, conn: ConnId, name: &str) {
         let tasks = self.machine_tasks(name);
         self.count_differences(name, &tasks.wanted, &tasks.kept);
+        let mut commands = self.sendable_commands(name, &tasks);
         let Some(machine) = self.agents.machines.get_mut(name) else { return };
-        let mut commands = super::commands::without_partly_placed(
-            machine.commands(&tasks.wanted, &tasks.kept),
-            &self.state,
-            &self.config,
-        );
         machine.raise_token_to_forget(&mut commands);
         let fencing_token = machine.record_answer(&commands, self.now);
         self.agents.summary.answers += 1;
--- a/src/controller/agents/mod.rs
+++ b/src/controller/agents/mod.rs
@@ -21,7 +21,7 @@
 use crate::state::{ClusterState, Images};
 use heartbeats::PendingHeartbeat;
 pub(super) use preemption::Preemption;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 use summary::AgentsSummary;
 
@@ -40,6 +40,8 @@
     images_in_other_shards: HashMap<String, Images>,
     /// Silent machines that answered a probe of ours, and when.
     probe_answers: BTreeMap<String, Instant>,
+    /// Machines for which starts were withheld after a suspension of this process.
+    withheld_starts: BTreeSet<String>,
     /// What happened to commands and proofs since the last summary.
     summary: AgentsSummary,
     /// When the agents are next checked.
--- a/src/controller/connectivity/mod.rs
+++ b/src/controller/connectivity/mod.rs
@@ -186,6 +186,13 @@
         let confirmed_at = self.connectivity.peers.read_index_time(others, self.state.revision, has_applied);
         self.store.session.fresh_at.max(confirmed_at)
     }
+
+    /// Whether this controller's replica is known to have been the newest at some time since the
+    /// process last resumed from a suspension.
+    pub(super) fn is_replica_confirmed_since_resume(&self) -> bool {
+        let is_since = |at: Instant| self.process.suspension.proves_present(at);
+        self.store.session.fresh_at.is_some_and(is_since) || self.confirmed_fresh_at().is_some_and(is_since)
+    }
 }
 
 #[cfg(test)]
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -388,6 +388,7 @@
         for uid in std::mem::take(&mut self.state.newly_cancelled) {
             self.stop_job(&uid);
         }
+        self.push_withheld_starts();
         self.retry_pending_heartbeats();
         self.answer_requests(RequestEvent::ReplicaAt(self.state.revision));
     }
--- a/src/controller/store_sync.rs
+++ b/src/controller/store_sync.rs
@@ -280,6 +280,7 @@
             self.store.barrier_answered(revision, self.state.revision);
         }
         self.answer_requests(RequestEvent::ReplicaAt(self.state.revision));
+        self.push_withheld_starts();
     }
 
     /// Scans the store again, because the watch cannot continue from the replica's revision.
--- a/tests/meetings/suspensions.rs
+++ b/tests/meetings/suspensions.rs
@@ -146,3 +146,41 @@
     assert!(went_back.is_empty(), "{} of {submissions} went back: {went_back:?}", went_back.len());
     assert!(answered > 0, "none of {submissions} submissions was answered after a suspension");
 }
+
+/// A controller was suspended between the placement of a task and the command to start it. Resumed,
+/// it started the task although another controller had told the user meanwhile that the job is
+/// cancelled: that the placement is stored says nothing of what came after it.
+#[test]
+fn a_resumed_controller_starts_no_task_of_a_job_that_was_cancelled_during_its_suspension() {
+    let (mut suspensions, mut started) = (0, Vec::new());
+    for (nth, length_s) in SUSPENSIONS_S.into_iter().enumerate().skip(1) {
+        let mut w = fleet(9830 + nth as u64, 3, 12);
+        w.run_until(10.0);
+        for step_ms in (20..400).step_by(10) {
+            let (uid, node) = (format!("run-{step_ms:03}9"), step_ms as usize / 10 % 3);
+            let other = (node + 1) % 3;
+            w.submit_to(&uid, &array(6, 1e6), other);
+            // Writes take a while, so that some are in flight as the process is suspended.
+            w.faults.transaction_delay_s = 0.04;
+            run_for(&mut w, f64::from(step_ms) / 1000.0);
+            w.faults.transaction_delay_s = 0.0;
+            w.pause(node, true);
+            let resumed_at_s = w.now.as_secs_f64() + length_s;
+            run_for(&mut w, 0.05);
+            let cancelled = cancel_and_confirm(&mut w, &uid, other, length_s - 0.06);
+            w.run_until(resumed_at_s);
+            let before = w.counters.started_cancelled;
+            w.resume_with_answers(node);
+            run_for(&mut w, 0.5);
+            if cancelled {
+                suspensions += 1;
+                let late = w.counters.started_cancelled - before;
+                started.extend((late > 0).then(|| format!("{late} of {uid} after {length_s} s")));
+            }
+            w.cancel_at_node(&uid, other);
+            run_for(&mut w, if length_s > 1.0 { 8.0 } else { 1.0 });
+        }
+    }
+    assert!(started.is_empty(), "tasks started in {} of {suspensions}: {started:?}", started.len());
+    assert!(suspensions > 100, "only {suspensions} suspensions in which a job was cancelled");
+}
