A list of the cloud counts as of its request, not as of its handling

What callers saw: nothing in production. A leader that was suspended while the answer to its read of the cloud's list waited in the socket took the list for the present one, and told the owners of machines that had come up shortly before the read that these are gone. An owner releases such a machine after 1.25 heartbeat intervals of silence, and with it whatever runs there.

Cause: a missing machine counts as gone if it was first listed more than 2.5 lags before the list was read, since a list is at most two lags old. The time of the read was the time at which the answer was handled, or at which the cloud rejected a later page.

Fix: the list counts as of the request of its first page, which no later handling can move.

--- a/src/controller/cloud.rs
+++ b/src/controller/cloud.rs
@@ -52,9 +52,11 @@
 #[derive(Debug, Default)]
 struct ListRead {
     machines: BTreeMap<String, ListedMachine>,
-    /// When the cloud first rejected a later page because of its rate limit. The pages before
-    /// it are kept, and the read is resumed after them.
-    interrupted_at: Option<Instant>,
+    /// When its first page was requested.
+    requested_at: Instant,
+    /// Whether the cloud rejected a later page because of its rate limit. The pages before it are
+    /// kept, and the read is resumed after them.
+    is_interrupted: bool,
 }
 
 impl ListRead {
@@ -62,9 +64,10 @@
     /// otherwise the last machine before the cloud's rate limit interrupted the read. Without
     /// resuming, a list with more pages than the cloud allows in one burst of requests would
     /// never be read to its end.
-    fn resume_after(&mut self) -> String {
-        if self.interrupted_at.is_none() {
+    fn resume_after(&mut self, now: Instant) -> String {
+        if !self.is_interrupted {
             self.machines.clear();
+            self.requested_at = now;
         }
         self.machines.keys().next_back().cloned().unwrap_or_default()
     }
@@ -86,8 +89,8 @@
     Stopped,
     /// The next page begins after this machine.
     NextPage(String),
-    /// The last page was received. The first pages had been read by `read_at`.
-    Complete { read_at: Instant },
+    /// The last page was received. Every page shows what the list was after `requested_at`.
+    Complete { requested_at: Instant },
 }
 
 impl CloudAccess {
@@ -221,7 +224,7 @@
     /// calls this, so that it decides by a list of its own term.
     pub(super) fn invalidate_list(&mut self) {
         self.list_complete_at = None;
-        self.list_read.interrupted_at = None;
+        self.list_read.is_interrupted = false;
     }
 
     /// Recorded machines that the cloud no longer lists, or lists as failed.
@@ -238,7 +241,7 @@
     fn begin_list_read(&mut self, now: Instant) -> String {
         self.list_read_in_flight = true;
         self.request_rate.charge(now, 1.0);
-        self.list_read.resume_after()
+        self.list_read.resume_after(now)
     }
 
     /// Handles the answer to a request for a page of the list, or the lack of one. The next
@@ -248,12 +251,12 @@
         self.next_list_read_at = now + interval;
         let rate_limited = result.as_ref().is_ok_and(|reply| reply.status == TOO_MANY_REQUESTS);
         if rate_limited && !self.list_read.machines.is_empty() {
-            self.list_read.interrupted_at.get_or_insert(now);
+            self.list_read.is_interrupted = true;
             self.next_list_read_at = now; // as soon as the retry policy allows
             return ListProgress::Stopped;
         }
         let Some(reply) = result.ok().filter(|reply| reply.status == OK) else {
-            self.list_read.interrupted_at = None;
+            self.list_read.is_interrupted = false;
             return ListProgress::Stopped;
         };
         let Ok(page) = decode::<MachinePage>(&reply.body) else { return ListProgress::Stopped };
@@ -264,7 +267,7 @@
         let read = std::mem::take(&mut self.list_read);
         self.machines = read.machines;
         self.list_complete_at = Some(now);
-        ListProgress::Complete { read_at: read.interrupted_at.unwrap_or(now) }
+        ListProgress::Complete { requested_at: read.requested_at }
     }
 
     /// Updates the set of unlisted machines, and tells whether any machine is newly unlisted.
@@ -273,13 +276,13 @@
     /// for as long as it exists. But a list may be older than the one read before it, by at
     /// most twice the lag, and may then miss a machine that has just appeared. So a missing
     /// machine counts as gone only if it was first listed more than `absence_proof` before
-    /// `read_at`, the time by which the first pages of the list had been read;
-    /// `absence_proof` is longer than twice the lag. A machine listed as failed counts as gone
-    /// at once.
+    /// `requested_at`, when the first page of the list was requested: the answers may have waited in
+    /// the sockets of a suspended process. `absence_proof` is longer than twice the lag. A machine
+    /// listed as failed counts as gone at once.
     fn update_unlisted(
         &mut self,
         now: Instant,
-        read_at: Instant,
+        requested_at: Instant,
         absence_proof: Duration,
         recorded: &Versions<MachineRecord>,
     ) -> bool {
@@ -290,7 +293,7 @@
         self.first_listed.retain(|name, _| listed.contains_key(name) || recorded.contains_key(name));
         let gone = |name: &String| match listed.get(name) {
             Some(machine) => machine.phase == Phase::Failed,
-            None => self.first_listed.get(name).is_some_and(|at| read_at.saturating_sub(*at) > absence_proof),
+            None => self.first_listed.get(name).is_some_and(|at| requested_at.saturating_sub(*at) > absence_proof),
         };
         let unlisted: BTreeSet<String> = recorded.keys().filter(|name| gone(name)).cloned().collect();
         let newly_unlisted = !unlisted.is_subset(&self.unlisted);
@@ -377,8 +380,8 @@
         match self.cloud.receive_list_page(self.now, interval, result) {
             ListProgress::Stopped => {}
             ListProgress::NextPage(after) => self.request_list_page(&after),
-            ListProgress::Complete { read_at } => {
-                self.update_unlisted_machines(read_at);
+            ListProgress::Complete { requested_at } => {
+                self.update_unlisted_machines(requested_at);
                 self.forget_finished_rentals();
             }
         }
@@ -386,9 +389,9 @@
 
     /// Updates the set of unlisted machines. The owners of newly unlisted machines are told
     /// of them, and confirm with the cloud that a machine is gone before they act on it.
-    fn update_unlisted_machines(&mut self, read_at: Instant) {
+    fn update_unlisted_machines(&mut self, requested_at: Instant) {
         let absence_proof = self.secs(self.config.deployment.cloud.list_lag_s * ABSENCE_PROOF_LAGS);
-        if self.cloud.update_unlisted(self.now, read_at, absence_proof, &self.state.machines) {
+        if self.cloud.update_unlisted(self.now, requested_at, absence_proof, &self.state.machines) {
             // The owners can then confirm it soon and start the machines' tasks elsewhere.
             self.connectivity.hasten_heartbeat(self.now);
         }
