The cloud's answers to rental requests count as of the request

A leader that was suspended while the answer to a rental request waited in its socket took it for the present: after a refusal it asked for no machine of that offer until a lease after its resumption, and what it had rented counted as just requested, so machines that never come up were waited for longer by the length of the suspension.

Cause: both times were those at which the answer was handled.

Fix: the call carries the time of its request, and both times are reckoned from it. The protocol charges and lists machines from the request too.

--- a/src/controller/autoscaler/scale_out.rs
+++ b/src/controller/autoscaler/scale_out.rs
@@ -108,7 +108,7 @@
             number: rental.number,
         });
         let timeout = self.heartbeat_intervals(RENT_TIMEOUT_INTERVALS);
-        let purpose = CallPurpose::Rent { offer: rental.offer, number: rental.number };
+        let purpose = CallPurpose::Rent { offer: rental.offer, number: rental.number, requested_at: self.now };
         self.call(Target::Cloud, "POST", MACHINES_PATH.into(), Some(body), timeout, purpose);
     }
 
@@ -134,16 +134,18 @@
         })
     }
 
-    /// Handles the cloud's answer to a rental request, or the lack of one.
+    /// Handles the cloud's answer to a rental request, or the lack of one. It tells what the cloud
+    /// had when the request was sent: this process may have been suspended since.
     pub(in crate::controller) fn handle_rent_answer(
         &mut self,
         offer: Offer,
         number: u32,
+        requested_at: Instant,
         result: Result<Reply, NoAnswer>,
     ) {
         self.autoscaler.requests_in_flight = self.autoscaler.requests_in_flight.saturating_sub(1);
         let Ok(reply) = result else { return };
-        let unavailable_until = self.now + self.secs(self.config.deployment.workers.lease_s);
+        let unavailable_until = requested_at + self.secs(self.config.deployment.workers.lease_s);
         match reply.status {
             200 => {
                 let names = decode::<RentResponse>(&reply.body).map(|body| body.machines).unwrap_or_default();
@@ -151,15 +153,15 @@
                     // The request was filled only in part: the cloud has no more for now.
                     self.autoscaler.mark_unavailable(offer.clone(), unavailable_until);
                 }
-                self.add_rented(offer, names);
+                self.add_rented(offer, names, requested_at);
             }
             503 => self.autoscaler.mark_unavailable(offer, unavailable_until),
             _ => {}
         }
     }
 
-    /// Adds machines that the cloud has rented out to this controller.
-    fn add_rented(&mut self, offer: Offer, names: Vec<String>) {
+    /// Adds machines that the cloud has rented out to this controller, as of the time of the request.
+    fn add_rented(&mut self, offer: Offer, names: Vec<String>, rented_at: Instant) {
         tracing::info!(machine_type = %offer.machine_type, zone = %offer.zone, spot = offer.spot, machines = names.len(), "machines rented");
         if names.len() as f64 >= self.transactions.write_rate() * GROUP_RECORD_MIN_FRACTION {
             self.autoscaler.unrecorded.push_back((offer.clone(), names.clone()));
@@ -171,7 +173,7 @@
             self.connectivity.hasten_heartbeat(self.now);
         }
         for name in names {
-            self.autoscaler.rented.insert(name, RentedMachine { offer: offer.clone(), rented_at: self.now });
+            self.autoscaler.rented.insert(name, RentedMachine { offer: offer.clone(), rented_at });
         }
     }
 
--- a/src/controller/cloud.rs
+++ b/src/controller/cloud.rs
@@ -364,7 +364,9 @@
         match purpose {
             CallPurpose::Catalog => self.handle_catalog_answer(result),
             CallPurpose::List => self.handle_list_answer(result),
-            CallPurpose::Rent { offer, number } => self.handle_rent_answer(offer, number, result),
+            CallPurpose::Rent { offer, number, requested_at } => {
+                self.handle_rent_answer(offer, number, requested_at, result);
+            }
             _ => {}
         }
     }
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -115,7 +115,7 @@
 struct RentedMachine {
     /// The offer of the cloud that the machine belongs to.
     offer: crate::scaling::Offer,
-    /// When the machine was provisioned.
+    /// When the machine was requested.
     rented_at: Instant,
 }
 
--- a/src/controller/outbox.rs
+++ b/src/controller/outbox.rs
@@ -2,7 +2,7 @@
 
 use crate::connectivity::heartbeat_tracking::HeartbeatCounters;
 use crate::controller::transactions::PendingTransaction;
-use crate::effects::{Action, CallId, NoAnswer, Reply, Target};
+use crate::effects::{Action, CallId, Instant, NoAnswer, Reply, Target};
 use crate::protocol::user::ErrorBody;
 use crate::retry::{Outcome, Purpose as RetryPurpose};
 use std::collections::HashMap;
@@ -34,6 +34,8 @@
         offer: crate::scaling::Offer,
         /// The number of machines.
         number: u32,
+        /// When they are requested. The answer may be handled much later.
+        requested_at: Instant,
     },
     /// Returns machines to the cloud.
     Release {
--- a/tests/meetings/suspensions.rs
+++ b/tests/meetings/suspensions.rs
@@ -3,7 +3,8 @@
 //! when its request was sent, not what is true now.
 
 use super::fleet;
-use crate::world::{World, array, s, service};
+use crate::world::helpers::with_spare_machines;
+use crate::world::{LEASE_S, SMALL, World, array, s, service};
 
 /// Lengths of suspensions, in seconds: from little more than two ticks to several leases.
 const SUSPENSIONS_S: [f64; 8] = [0.05, 0.1, 0.4, 1.2, 1.9, 5.0, 15.0, 60.0];
@@ -184,3 +185,30 @@
     assert!(started.is_empty(), "tasks started in {} of {suspensions}: {started:?}", started.len());
     assert!(suspensions > 100, "only {suspensions} suspensions in which a job was cancelled");
 }
+
+/// The cloud refused a rental while the leader was suspended. Resumed, the leader took the refusal
+/// for the present, and asked for no machine of that offer until a lease after its resumption.
+#[test]
+fn a_refusal_that_waited_through_a_suspension_delays_no_rental_longer() {
+    for seed in 0..6 {
+        let mut w = with_spare_machines(9840 + seed, SMALL, 0);
+        w.run_until(30.0);
+        w.submit("run-009", service(60));
+        while w.cloud.rental_requests.is_empty() {
+            run_for(&mut w, 0.001);
+            assert!(w.now < s(60.0), "seed {seed}: no machine was requested");
+        }
+        let leader = w.store.leader().expect("no leader");
+        let (requested_at, spot) = w.cloud.rental_requests[0];
+        w.pause(leader, true);
+        run_for(&mut w, 2.0);
+        w.resume_with_answers(leader);
+        let resumed_at = w.now;
+        run_for(&mut w, LEASE_S + 4.0);
+        assert_eq!(w.store.leader(), Some(leader), "seed {seed}: another leader");
+        let is_next = |request: &&(_, bool)| request.0 > resumed_at && request.1 == spot;
+        let next = w.cloud.rental_requests.iter().find(is_next).expect("no second request for the offer");
+        let waited_s = (next.0 - requested_at).as_secs_f64();
+        assert!(waited_s < LEASE_S + 1.0, "seed {seed}: requested again {waited_s:.2} s after the refused request");
+    }
+}
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -41,6 +41,8 @@
     pub more_types: Vec<Value>,
     /// How long machines take to boot in seconds, if it is not what the catalog says.
     pub up_after_s: Option<f64>,
+    /// Requests for machines: when, and whether for spot machines.
+    pub rental_requests: Vec<(Duration, bool)>,
     /// Machines that were returned: when, and which.
     pub returned: Vec<(Duration, String)>,
     /// The pages of the list and the rate limit; without it the whole list is one page, and
@@ -123,6 +125,7 @@
                     return (200, answer.clone());
                 }
                 let spot = get(body, "loaners").and_then(Value::as_bool).unwrap_or(false);
+                self.rental_requests.push((now, spot));
                 let capacity = self.most.saturating_sub(self.machines.len());
                 let count = (number(body, "number") as usize).min(capacity);
                 if count == 0 {
