A long suspension is noticed at the first event after it, not at the next tick

Cause: suspensions were detected twice, in two ways: by the time between two events, and by the time between two ticks. After a suspension of more than two heartbeat intervals the tick came after everything that had waited in the sockets, so decisions that wait for the phases of the startup (preemption in a scheduling round, for one) could still be made on the way.

Change: the detector of suspensions tells both, and the gathering of heartbeats begins before the first of them is handled. The log line and its threshold stay. `a_tick_returns_the_time_since_the_previous_one` of the removed method is now `an_event_after_a_suspension_returns_the_time_since_the_previous_one`, with the same times asserted of the detector.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -239,7 +239,6 @@
 
     /// Does everything that is due with the passage of time.
     fn tick(&mut self) {
-        self.detect_pause();
         self.synchronize();
         self.answer_due_requests();
         self.read_catalog();
--- a/src/controller/process.rs
+++ b/src/controller/process.rs
@@ -14,8 +14,6 @@
     pub(super) incarnation: u64,
     /// The time of day at which the process started.
     started_at: Duration,
-    /// When the last tick was handled.
-    last_tick: Instant,
     /// Tells which answers prove the present.
     pub(super) suspension: SuspensionDetector,
 }
@@ -25,7 +23,7 @@
     /// interval.
     pub(super) fn new(member: String, incarnation: u64, started_at: Duration, tick_interval: Duration) -> Process {
         let suspension = SuspensionDetector::new(tick_interval);
-        Process { member, incarnation, started_at, last_tick: Duration::ZERO, suspension }
+        Process { member, incarnation, started_at, suspension }
     }
 
     /// Whether a record with this member name and incarnation refers to this process.
@@ -38,14 +36,6 @@
         (self.started_at + now).as_millis() as u64
     }
 
-    /// Records a tick and returns the time since the previous one. If that is much more than
-    /// the usual interval, the process was suspended.
-    pub(super) fn record_tick(&mut self, now: Instant) -> Duration {
-        let since = now.saturating_sub(self.last_tick);
-        self.last_tick = now;
-        since
-    }
-
     /// Whether the machine is granted to this process.
     pub(super) fn owns(&self, machine: &MachineRecord) -> bool {
         machine.owner == self.member && machine.incarnation == self.incarnation
--- a/src/controller/process/tests.rs
+++ b/src/controller/process/tests.rs
@@ -17,8 +17,8 @@
 }
 
 #[test]
-fn a_tick_returns_the_time_since_the_previous_one() {
+fn an_event_after_a_suspension_returns_the_time_since_the_previous_one() {
     let mut process = process();
-    assert_eq!(process.record_tick(Duration::from_secs(3)), Duration::from_secs(3));
-    assert_eq!(process.record_tick(Duration::from_secs(4)), Duration::from_secs(1));
+    assert_eq!(process.suspension.observe_event(Duration::from_secs(3)), Some(Duration::from_secs(3)));
+    assert_eq!(process.suspension.observe_event(Duration::from_secs(4)), Some(Duration::from_secs(1)));
 }
--- a/src/controller/startup.rs
+++ b/src/controller/startup.rs
@@ -17,24 +17,16 @@
 const PAUSE_INTERVALS: f64 = 2.0;
 
 impl Controller {
-    /// Detects that the process was suspended while its clocks went on, and returns to
-    /// gathering heartbeats.
-    pub(super) fn detect_pause(&mut self) {
-        let since_last_tick = self.process.record_tick(self.now);
-        if since_last_tick > self.heartbeat_intervals(PAUSE_INTERVALS) && self.startup.phase() > Phase::Gathering {
-            tracing::info!(
-                stood_ms = since_last_tick.as_millis() as u64,
-                "process was suspended, gathering heartbeats again"
-            );
-            self.startup.record_pause(self.now);
-        }
-    }
-
     /// Acts on the end of a suspension of this process, before anything that arrived meanwhile is
     /// handled.
     pub(super) fn resume(&mut self, suspended: Duration) {
-        tracing::debug!(suspended_ms = suspended.as_millis() as u64, "process resumed, earlier reads prove nothing");
+        let suspended_ms = suspended.as_millis() as u64;
+        tracing::debug!(suspended_ms, "process resumed, earlier reads prove nothing");
         self.answer_requests(RequestEvent::Resumed);
+        if suspended > self.heartbeat_intervals(PAUSE_INTERVALS) && self.startup.phase() > Phase::Gathering {
+            tracing::info!(stood_ms = suspended_ms, "process was suspended, gathering heartbeats again");
+            self.startup.record_pause(self.now);
+        }
     }
 
     /// Advances the startup phase according to what is observed now.
