A suspension makes a read of the store due at once

Cause: a read is due if a request waits for one, or if the last one is a quarter of a heartbeat interval old. After a short suspension it is younger, but proves nothing.

Fix: a read is also due while the replica is not confirmed since the suspension. It costs one read for each suspension, within the rate of reads as before.

--- a/src/controller/store_sync.rs
+++ b/src/controller/store_sync.rs
@@ -182,12 +182,12 @@
     }
 
     /// Sends a read barrier if requests wait for one, or if the last proof that the replica
-    /// is fresh is too old.
+    /// is fresh is too old or from before a suspension of this process.
     fn prove_freshness(&mut self) {
         let now = self.now;
         let max_staleness = self.heartbeat_intervals(BARRIER_INTERVALS);
         let stale = self.store.session.staleness(now).is_none_or(|staleness| staleness > max_staleness);
-        let due = self.api.awaits_read() || stale;
+        let due = self.api.awaits_read() || stale || !self.is_replica_confirmed_since_resume();
         if !due || !self.store.barrier_allowed(now) || !self.retry.allows(RetryPurpose::Barrier, now) {
             return;
         }
--- a/tests/meetings/suspensions.rs
+++ b/tests/meetings/suspensions.rs
@@ -4,7 +4,7 @@
 
 use super::fleet;
 use crate::world::helpers::with_spare_machines;
-use crate::world::{LEASE_S, SMALL, World, array, s, service};
+use crate::world::{LEASE_S, REPORT_S, SMALL, World, array, s, service};
 
 /// Lengths of suspensions, in seconds: from little more than two ticks to several leases.
 const SUSPENSIONS_S: [f64; 8] = [0.05, 0.1, 0.4, 1.2, 1.9, 5.0, 15.0, 60.0];
@@ -212,3 +212,32 @@
         assert!(waited_s < LEASE_S + 1.0, "seed {seed}: requested again {waited_s:.2} s after the refused request");
     }
 }
+
+/// Starts that are withheld after a short suspension wait for a read of the store, not for the next
+/// heartbeats of the machines, nor until a read is due anyway.
+#[test]
+fn starts_withheld_after_a_suspension_are_pushed_within_a_tenth_of_a_heartbeat_interval() {
+    let mut slowest_s: f64 = 0.0;
+    let mut w = fleet(9860, 3, 12);
+    w.run_until(10.0);
+    for step_ms in (20..200).step_by(10) {
+        let (uid, node) = (format!("run-{step_ms:03}9"), step_ms as usize / 10 % 3);
+        w.submit_to(&uid, &array(6, 1e6), node);
+        w.faults.transaction_delay_s = 0.04;
+        run_for(&mut w, f64::from(step_ms) / 1000.0);
+        w.faults.transaction_delay_s = 0.0;
+        w.pause(node, true);
+        run_for(&mut w, 0.1);
+        w.resume_with_answers(node);
+        let resumed_at = w.now;
+        let on_machines =
+            |w: &World| w.workers.values().flat_map(|x| x.tasks.values()).filter(|t| t.job == uid).count();
+        while on_machines(&w) < 6 && w.now < resumed_at + s(3.0) {
+            run_for(&mut w, 0.005);
+        }
+        slowest_s = slowest_s.max((w.now - resumed_at).as_secs_f64());
+        cancel_and_confirm(&mut w, &uid, node, 1.0);
+        run_for(&mut w, 1.0);
+    }
+    assert!(slowest_s < REPORT_S / 10.0, "the slowest start took {slowest_s:.2} s after the suspension");
+}
