Decisions that no write checks wait for a read after a suspension

What callers saw: nothing that a user sees; money. A leader that had been suspended rented machines for a job that was cancelled meanwhile, after another controller had told the user so.

Cause: rentals, releases, preemptions and drains rest on a replica of at most one heartbeat interval by the time of its read. A process that resumes after less finds it young enough and decides in its first tick, before its watch or a read is answered.

Evidence: the new test suspends the leader for 0.2 to 5 s at steps of a submission that needs more machines, and cancels the job meanwhile.

Fix: `may_decide` asks, beside the age, that the replica was confirmed since the last suspension; the agents' checks, the leader's and the planning of starts ask it. A round that is put off for this is requested again. What is written is conditional already, and is not held back.

--- a/src/controller/agents/mod.rs
+++ b/src/controller/agents/mod.rs
@@ -209,7 +209,7 @@
     pub(super) fn check_agents(&mut self) {
         self.adopt_granted_machines();
         self.retry_pending_heartbeats();
-        if !self.is_replica_fresh() {
+        if !self.may_decide() {
             return;
         }
         self.give_up_exhausted_grants();
--- a/src/controller/leadership.rs
+++ b/src/controller/leadership.rs
@@ -126,7 +126,7 @@
             return;
         }
         self.begin_term();
-        if !self.is_replica_fresh() {
+        if !self.may_decide() {
             return;
         }
         self.grant_shards();
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -320,6 +320,13 @@
         self.store.session.staleness(self.now).is_some_and(|staleness| staleness < self.heartbeat_intervals(1.0))
     }
 
+    /// Whether decisions that nothing in the store checks may rest on the replica, such as rentals,
+    /// releases and preemptions: it is less than one heartbeat interval old, and not from before a
+    /// suspension of this process.
+    fn may_decide(&self) -> bool {
+        self.is_replica_fresh() && self.is_replica_confirmed_since_resume()
+    }
+
     /// Whether the machine is granted to this process.
     fn owns(&self, machine: &Versioned<records::MachineRecord>) -> bool {
         self.process.owns(&machine.rec)
--- a/src/controller/scheduler/mod.rs
+++ b/src/controller/scheduler/mod.rs
@@ -167,7 +167,8 @@
 
     /// Plans the starts of this round, and preempts tasks for urgent ones that found no room.
     fn plan_starts(&mut self) -> Vec<Start> {
-        if !self.is_replica_fresh() {
+        if !self.may_decide() {
+            self.scheduler.request_round_if(self.is_replica_fresh());
             return Vec::new();
         }
         let wall_ms = self.wall_ms();
--- a/tests/meetings/suspensions.rs
+++ b/tests/meetings/suspensions.rs
@@ -241,3 +241,35 @@
     }
     assert!(slowest_s < REPORT_S / 10.0, "the slowest start took {slowest_s:.2} s after the suspension");
 }
+
+/// The leader was suspended after a job had come for which there was no capacity. Resumed, it rented
+/// machines for the job although another controller had told the user meanwhile that it is cancelled.
+#[test]
+fn a_resumed_leader_rents_no_machine_for_a_job_that_was_cancelled_during_its_suspension() {
+    let (mut suspensions, mut rented) = (0, Vec::new());
+    for (nth, length_s) in [0.2, 0.4, 0.8, 1.2, 1.6, 1.9, 5.0].into_iter().enumerate() {
+        for step_ms in (10..300).step_by(20) {
+            let mut w = with_spare_machines(9850 + nth as u64, SMALL, 40);
+            w.run_until(12.0 + f64::from(step_ms) / 500.0);
+            let leader = w.store.leader().expect("no leader");
+            let other = (leader + 1) % 3;
+            w.submit_to("run-009", &service(200), other);
+            run_for(&mut w, f64::from(step_ms) / 1000.0);
+            w.pause(leader, true);
+            let resumed_at_s = w.now.as_secs_f64() + length_s;
+            run_for(&mut w, 0.05);
+            let cancelled = cancel_and_confirm(&mut w, "run-009", other, length_s - 0.06);
+            w.run_until(resumed_at_s);
+            let before = w.cloud.rental_requests.len();
+            w.resume_with_answers(leader);
+            run_for(&mut w, 0.5);
+            if cancelled && before == 0 {
+                suspensions += 1;
+                let requests = w.cloud.rental_requests.len() - before;
+                rented.extend((requests > 0).then(|| format!("{requests} at step {step_ms} ms, after {length_s} s")));
+            }
+        }
+    }
+    assert!(rented.is_empty(), "machines were rented in {} of {suspensions}: {rented:?}", rented.len());
+    assert!(suspensions > 30, "only {suspensions} suspensions in which a job was cancelled");
+}
