Gaps at every tick are the pace of a process, not suspensions

What callers would see: a controller with so little processor time that each turn of its event loop takes more than two tick intervals answered no poll (503 at the deadline) and started no task for as long as that lasted.

Cause: every gap of more than two tick intervals counted as a suspension. A read is answered in a later turn than the one that sent it, so with such a gap in each turn no read was ever younger than the last suspension.

Evidence: the new world test, a controller that handles its events every tenth of a second, before the fix: answers of controller 0 within the two seconds that users wait: left 0, right 3

Fix: a gap is a suspension if it is also more than twice the shorter one of the times between the last ticks. The first two late turns still count, after that the pace is known.

--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -239,6 +239,7 @@
 
     /// Does everything that is due with the passage of time.
     fn tick(&mut self) {
+        self.process.suspension.observe_tick(self.now);
         self.synchronize();
         self.answer_due_requests();
         self.read_catalog();
--- a/tests/meetings/suspensions.rs
+++ b/tests/meetings/suspensions.rs
@@ -273,3 +273,33 @@
     assert!(rented.is_empty(), "machines were rented in {} of {suspensions}: {rented:?}", rented.len());
     assert!(suspensions > 30, "only {suspensions} suspensions in which a job was cancelled");
 }
+
+/// A controller with too little processor time handles events only every tenth of a second, which is
+/// five times its tick interval. Each of these gaps counted as a suspension, so no read was ever
+/// confirmed: polls got no answer, and tasks were not started.
+#[test]
+fn a_controller_that_is_late_at_every_tick_still_answers_and_starts_tasks() {
+    let mut w = fleet(9870, 3, 12);
+    w.submit("run-009", service(1));
+    w.run_until(20.0);
+    for node in 0..3 {
+        let uid = format!("run-{node}19");
+        w.submit_to(&uid, &array(6, 1e6), node);
+        let (mut polls, mut answered) = (0, 0);
+        for turn in 0..60 {
+            w.pause(node, true);
+            if turn % 20 == 0 {
+                w.ask("run-009", node);
+                polls += 1;
+            }
+            run_for(&mut w, 0.1);
+            w.resume_with_answers(node);
+            run_for(&mut w, 0.001);
+            answered += u32::from(turn % 20 == 19 && w.asked[&("run-009".to_string(), node)] == 200);
+        }
+        assert_eq!(answered, polls, "answers of controller {node} within the two seconds that users wait");
+        let started = w.workers.values().flat_map(|x| x.tasks.values()).filter(|task| task.job == uid).count();
+        assert_eq!(started, 6, "tasks that controller {node} started");
+        run_for(&mut w, 5.0);
+    }
+}
