--- a/src/coordination/suspension.rs
+++ b/src/coordination/suspension.rs
@@ -13,9 +13,9 @@
 //! those at the last two ticks are the pace of the process.
 //!
 //! Four things remain, which no check of this process can exclude:
-//! - a suspension shorter than [`MAX_GAP_TICKS`] tick intervals;
-//! - the third and later ones of suspensions that follow each other tick by tick, up to
-//!   [`MAX_GAP_TICKS`] times the shorter one of the two before them;
+//! - a suspension shorter than two tick intervals;
+//! - the third and later ones of suspensions that follow each other tick by tick, up to twice the
+//!   shorter one of the two before them;
 //! - a suspension between the check and the sending of what was decided;
 //! - a suspension in which the clock stands still as well.
 
