Tests of suspensions: shared steps, and more starts that could go wrong

Read once more: two tests submitted a job while writes are slow, two suspended a controller while a job is cancelled elsewhere, and two counted tasks on machines, each with its own copy.

--- a/tests/meetings/suspensions.rs
+++ b/tests/meetings/suspensions.rs
@@ -54,6 +54,31 @@
     w.asked[&(uid.to_string(), node)] == 201
 }
 
+/// Submits an array of six tasks to a controller, and runs for this long. Writes take a while then,
+/// so that some are in flight at the end.
+fn submit_while_writes_are_slow(w: &mut World, uid: &str, node: usize, step_ms: u32) {
+    w.submit_to(uid, &array(6, 1e6), node);
+    w.faults.transaction_delay_s = 0.04;
+    run_for(w, f64::from(step_ms) / 1000.0);
+    w.faults.transaction_delay_s = 0.0;
+}
+
+/// Returns how many tasks of the job are on machines, in any state.
+fn on_machines(w: &World, uid: &str) -> usize {
+    w.workers.values().flat_map(|x| x.tasks.values()).filter(|task| task.job == uid).count()
+}
+
+/// Suspends a controller for this long, while the user of a job cancels it at another one. Returns
+/// whether that was confirmed; the controller is still to be resumed.
+fn suspend_and_cancel(w: &mut World, node: usize, uid: &str, other: usize, length_s: f64) -> bool {
+    w.pause(node, true);
+    let resumed_at_s = w.now.as_secs_f64() + length_s;
+    run_for(w, 0.05);
+    let cancelled = cancel_and_confirm(w, uid, other, length_s - 0.06);
+    w.run_until(resumed_at_s);
+    cancelled
+}
+
 /// Suspends a controller this long after its user sent a request, while `meanwhile` happens, and
 /// resumes it. Returns whether the request waited there all the time, and `meanwhile` took place.
 fn suspend(w: &mut World, node: usize, uid: &str, length_s: f64, meanwhile: impl FnOnce(&mut World) -> bool) -> bool {
@@ -70,8 +95,9 @@
 }
 
 /// Runs a suspension of a controller at each step of a request of a user, for each length. `start`
-/// creates the cluster, `send` sends the request about a job to a controller, `meanwhile` is what another controller does for
-/// the user within the given seconds, and `check` gets what the resumed one answered.
+/// creates the cluster, `send` sends the request about a job to a controller, `meanwhile` is what
+/// another controller does for the user within the given seconds, and `check` gets what the resumed
+/// one answered.
 fn suspend_at_each_step(
     seed: u64,
     start: impl Fn(u64) -> World,
@@ -160,16 +186,8 @@
         for step_ms in (20..400).step_by(10) {
             let (uid, node) = (format!("run-{step_ms:03}9"), step_ms as usize / 10 % 3);
             let other = (node + 1) % 3;
-            w.submit_to(&uid, &array(6, 1e6), other);
-            // Writes take a while, so that some are in flight as the process is suspended.
-            w.faults.transaction_delay_s = 0.04;
-            run_for(&mut w, f64::from(step_ms) / 1000.0);
-            w.faults.transaction_delay_s = 0.0;
-            w.pause(node, true);
-            let resumed_at_s = w.now.as_secs_f64() + length_s;
-            run_for(&mut w, 0.05);
-            let cancelled = cancel_and_confirm(&mut w, &uid, other, length_s - 0.06);
-            w.run_until(resumed_at_s);
+            submit_while_writes_are_slow(&mut w, &uid, node, step_ms);
+            let cancelled = suspend_and_cancel(&mut w, node, &uid, other, length_s);
             let before = w.counters.started_cancelled;
             w.resume_with_answers(node);
             run_for(&mut w, 0.5);
@@ -222,17 +240,12 @@
     w.run_until(10.0);
     for step_ms in (20..200).step_by(10) {
         let (uid, node) = (format!("run-{step_ms:03}9"), step_ms as usize / 10 % 3);
-        w.submit_to(&uid, &array(6, 1e6), node);
-        w.faults.transaction_delay_s = 0.04;
-        run_for(&mut w, f64::from(step_ms) / 1000.0);
-        w.faults.transaction_delay_s = 0.0;
+        submit_while_writes_are_slow(&mut w, &uid, node, step_ms);
         w.pause(node, true);
         run_for(&mut w, 0.1);
         w.resume_with_answers(node);
         let resumed_at = w.now;
-        let on_machines =
-            |w: &World| w.workers.values().flat_map(|x| x.tasks.values()).filter(|t| t.job == uid).count();
-        while on_machines(&w) < 6 && w.now < resumed_at + s(3.0) {
+        while on_machines(&w, &uid) < 6 && w.now < resumed_at + s(3.0) {
             run_for(&mut w, 0.005);
         }
         slowest_s = slowest_s.max((w.now - resumed_at).as_secs_f64());
@@ -255,11 +268,7 @@
             let other = (leader + 1) % 3;
             w.submit_to("run-009", &service(200), other);
             run_for(&mut w, f64::from(step_ms) / 1000.0);
-            w.pause(leader, true);
-            let resumed_at_s = w.now.as_secs_f64() + length_s;
-            run_for(&mut w, 0.05);
-            let cancelled = cancel_and_confirm(&mut w, "run-009", other, length_s - 0.06);
-            w.run_until(resumed_at_s);
+            let cancelled = suspend_and_cancel(&mut w, leader, "run-009", other, length_s);
             let before = w.cloud.rental_requests.len();
             w.resume_with_answers(leader);
             run_for(&mut w, 0.5);
@@ -298,8 +307,7 @@
             answered += u32::from(turn % 20 == 19 && w.asked[&("run-009".to_string(), node)] == 200);
         }
         assert_eq!(answered, polls, "answers of controller {node} within the two seconds that users wait");
-        let started = w.workers.values().flat_map(|x| x.tasks.values()).filter(|task| task.job == uid).count();
-        assert_eq!(started, 6, "tasks that controller {node} started");
+        assert_eq!(on_machines(&w, &uid), 6, "tasks that controller {node} started");
         run_for(&mut w, 5.0);
     }
 }
