--- a/src/controller/leadership/tests.rs
+++ b/src/controller/leadership/tests.rs
@@ -38,7 +38,7 @@
 
 #[test]
 fn an_election_starts_the_next_term_if_the_last_one_is_unchanged() {
-    let process = Process::new("a".into(), 7, Duration::ZERO);
+    let process = Process::new("a".into(), 7, Duration::ZERO, Duration::from_millis(20));
     let mut state = ClusterState::new(1);
     let term = TermRecord { term: 4, format_version: records::FORMAT_VERSION };
     state.put(records::TERM_KEY, &records::to_value(&term), 11);
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -159,7 +159,7 @@
         let heartbeat_interval = Self::peer_heartbeat_interval(duration_from_secs(workers.heartbeat_interval_s));
         let checkpoint_size = records::checkpoint_size(platform.state.value_kb, platform.state.write_rps / controllers);
         Controller {
-            process: Process::new(config.member.clone(), incarnation >> 1, wall_clock),
+            process: Process::new(config.member.clone(), incarnation >> 1, wall_clock, workers.tick_interval()),
             now: Duration::ZERO,
             outbox: Outbox::new(),
             retry: RetryPolicy::new(incarnation, base_pauses(&config, ttl, read_interval)),
@@ -195,6 +195,9 @@
     /// Handles one event at the time `now`, and appends the actions that follow from it.
     pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
+        if let Some(suspended) = self.process.suspension.observe_event(now) {
+            self.resume(suspended);
+        }
         match event {
             Event::Request { conn, method, path, body } => self.handle_request(conn, &method, &path, &body),
             Event::CallEnded { id, result } => {
--- a/src/controller/process.rs
+++ b/src/controller/process.rs
@@ -1,5 +1,6 @@
 //! The identity of this controller process, and its clocks.
 
+use crate::coordination::suspension::SuspensionDetector;
 use crate::effects::Instant;
 use crate::state::records::MachineRecord;
 use std::time::Duration;
@@ -15,12 +16,16 @@
     started_at: Duration,
     /// When the last tick was handled.
     last_tick: Instant,
+    /// Tells which answers prove the present.
+    pub(super) suspension: SuspensionDetector,
 }
 
 impl Process {
-    /// A process that has just started at the time of day `started_at`.
-    pub(super) fn new(member: String, incarnation: u64, started_at: Duration) -> Process {
-        Process { member, incarnation, started_at, last_tick: Duration::ZERO }
+    /// A process that has just started at the time of day `started_at`, and handles ticks at this
+    /// interval.
+    pub(super) fn new(member: String, incarnation: u64, started_at: Duration, tick_interval: Duration) -> Process {
+        let suspension = SuspensionDetector::new(tick_interval);
+        Process { member, incarnation, started_at, last_tick: Duration::ZERO, suspension }
     }
 
     /// Whether a record with this member name and incarnation refers to this process.
--- a/src/controller/process/tests.rs
+++ b/src/controller/process/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 fn process() -> Process {
-    Process::new("a".into(), 7, Duration::from_secs(100))
+    Process::new("a".into(), 7, Duration::from_secs(100), Duration::from_millis(20))
 }
 
 #[test]
--- a/src/controller/startup.rs
+++ b/src/controller/startup.rs
@@ -30,6 +30,13 @@
         }
     }
 
+    /// Acts on the end of a suspension of this process, before anything that arrived meanwhile is
+    /// handled.
+    pub(super) fn resume(&mut self, suspended: Duration) {
+        tracing::debug!(suspended_ms = suspended.as_millis() as u64, "process resumed, earlier reads prove nothing");
+        self.answer_requests(RequestEvent::Resumed);
+    }
+
     /// Advances the startup phase according to what is observed now.
     pub(super) fn update_startup(&mut self) {
         if self.startup.phase() == Phase::Settled && self.startup.all_agents_had_time() {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -16,4 +16,5 @@
 pub mod rate_limiter;
 pub mod shards;
 pub mod store_session;
+pub mod suspension;
 pub mod token_bucket;
--- a/src/requests/tests.rs
+++ b/src/requests/tests.rs
@@ -9,7 +9,7 @@
     [RequestKind::Submit, RequestKind::SubmitImpossible, RequestKind::Status, RequestKind::Cancel];
 const STAGES: [Stage; 4] = [Stage::Queued, Stage::Reading, Stage::AwaitingRevision(7), Stage::Writing];
 const KNOWN: [KnownStatus; 4] = [KnownStatus::Unknown, KnownStatus::Queued, KnownStatus::Running, KnownStatus::Ended];
-const EVENTS: [Event; 10] = [
+const EVENTS: [Event; 11] = [
     Event::ReadSent,
     Event::Read(9),
     Event::ReadFailed,
@@ -19,6 +19,7 @@
     Event::WriteOutcome(WriteOutcome::Void),
     Event::WriteOutcome(WriteOutcome::Limited),
     Event::WriteOutcome(WriteOutcome::Failed),
+    Event::Resumed,
     Event::DeadlinePassed,
 ];
 
@@ -83,6 +84,11 @@
         if next == Transition::Stage(Stage::Writing) && stage != Stage::Writing {
             assert!(kind == RequestKind::Cancel && read && is_live, "{combination}");
         }
+        // `went_back` of the emulator's checker: no read from before a suspension is used after it.
+        if event == Event::Resumed {
+            let uses_read = matches!(next, Transition::Stage(Stage::Reading | Stage::AwaitingRevision(_)));
+            assert!(!uses_read && !matches!(next, Transition::Answer(_)), "{combination}");
+        }
         // No request waits beyond its deadline.
         assert!(event != Event::DeadlinePassed || next == Transition::Answer(Answer::RetryLater), "{combination}");
     });
@@ -98,6 +104,7 @@
             | (Stage::Queued, Event::ReadSent)
             | (Stage::Writing, Event::WriteOutcome(_)) => true,
             (Stage::Reading, Event::Read(_) | Event::ReadFailed) => true,
+            (Stage::Reading | Stage::AwaitingRevision(_), Event::Resumed) => true,
             (Stage::AwaitingRevision(n), Event::ReplicaAt(r)) => r >= n,
             (Stage::Writing, Event::ReplicaAt(_)) => kind == RequestKind::Cancel && known == KnownStatus::Unknown,
             _ => false,
--- a/src/requests/transitions.rs
+++ b/src/requests/transitions.rs
@@ -5,6 +5,7 @@
 //! - The final status of a job is answered as soon as it is known. Any other status is answered
 //!   only after a read that was sent after the request arrived, or because of this controller's
 //!   own write for that request.
+//! - A read that was sent before a suspension of the process answers nothing after it.
 //! - That a job is unknown is answered only after such a read.
 //! - A request that is not answered by its deadline is answered with a retry time.
 
@@ -76,6 +77,9 @@
     ReplicaAt(u64),
     /// This controller's write for the request has ended.
     WriteOutcome(WriteOutcome),
+    /// The process resumed after a suspension. What it read before may be outdated: meanwhile
+    /// other controllers may have answered with later states.
+    Resumed,
     /// The request's deadline has passed.
     DeadlinePassed,
 }
@@ -114,6 +118,7 @@
     }
     match (stage, event) {
         (_, Event::DeadlinePassed) => Transition::Answer(Answer::RetryLater),
+        (Stage::Reading | Stage::AwaitingRevision(_), Event::Resumed) => Transition::Stage(Stage::Queued),
         (Stage::Queued, Event::ReadSent) => Transition::Stage(Stage::Reading),
         (Stage::Reading, Event::Read(revision)) => Transition::Stage(Stage::AwaitingRevision(revision)),
         (Stage::Reading, Event::ReadFailed) => Transition::Answer(Answer::RetryLater),
--- a/tests/meetings/mod.rs
+++ b/tests/meetings/mod.rs
@@ -14,6 +14,7 @@
 mod leaders;
 mod machines;
 mod outage;
+mod suspensions;
 mod troubles;
 
 use super::world::helpers::{all_over, cancel, fleet};
--- /dev/null
+++ b/tests/meetings/suspensions.rs
@@ -0,0 +1,129 @@
+//! Processes that are suspended while their clocks run on, for any length of time, and resume with
+//! everything that arrived meanwhile in their sockets: an answer that came in proves what was true
+//! when its request was sent, not what is true now.
+
+use super::fleet;
+use crate::world::{World, array, s, service};
+
+/// Lengths of suspensions, in seconds: from little more than two ticks to several leases.
+const SUSPENSIONS_S: [f64; 8] = [0.05, 0.1, 0.4, 1.2, 1.9, 5.0, 15.0, 60.0];
+/// Steps of a user's request at which its controller is suspended, in milliseconds after it was sent.
+const STEPS_MS: [u32; 12] = [3, 6, 9, 12, 15, 18, 21, 24, 27, 30, 33, 36];
+
+/// The id of the job for the step at which a controller is suspended.
+fn uid_of(step_ms: u32) -> String {
+    format!("run-{step_ms:02}9")
+}
+
+/// Creates a cluster with one service for each step at which a controller is suspended.
+fn with_services(seed: u64) -> World {
+    let mut w = fleet(seed, 3, 9);
+    STEPS_MS.iter().for_each(|step| w.submit(&uid_of(*step), service(1)));
+    w.run_until(25.0);
+    w
+}
+
+/// Creates a cluster without jobs.
+fn without_jobs(seed: u64) -> World {
+    let mut w = fleet(seed, 3, 9);
+    w.run_until(10.0);
+    w
+}
+
+/// Runs the world for this many seconds more.
+fn run_for(w: &mut World, seconds: f64) {
+    let end_s = w.now.as_secs_f64() + seconds;
+    w.run_until(end_s);
+}
+
+/// Cancels a job through a controller, and runs until that is confirmed or `within_s` has passed.
+fn cancel_and_confirm(w: &mut World, uid: &str, node: usize, within_s: f64) -> bool {
+    let until = w.now + s(within_s);
+    w.cancel_at_node(uid, node);
+    while w.jobs[uid].cancelled_at.is_none() && w.now < until {
+        run_for(w, 0.001);
+    }
+    w.jobs[uid].cancelled_at.is_some()
+}
+
+/// Submits a job to a controller, and returns whether it was accepted after this many seconds.
+fn accept(w: &mut World, uid: &str, node: usize, within_s: f64) -> bool {
+    w.submit_to(uid, &array(1, 1.0), node);
+    run_for(w, within_s);
+    w.asked[&(uid.to_string(), node)] == 201
+}
+
+/// Suspends a controller this long after its user sent a request, while `meanwhile` happens, and
+/// resumes it. Returns whether the request waited there all the time, and `meanwhile` took place.
+fn suspend(w: &mut World, node: usize, uid: &str, length_s: f64, meanwhile: impl FnOnce(&mut World) -> bool) -> bool {
+    w.pause(node, true);
+    let resumed_at_s = w.now.as_secs_f64() + length_s;
+    // An answer that was given before the suspension arrives now.
+    run_for(w, 0.01);
+    let waits = w.asked[&(uid.to_string(), node)] == 0;
+    let happened = meanwhile(w);
+    w.run_until(resumed_at_s);
+    w.resume_with_answers(node);
+    run_for(w, 0.5);
+    waits && happened
+}
+
+/// Runs a suspension of a controller at each step of a request of a user, for each length. `start`
+/// creates the cluster, `send` sends the request about a job to a controller, `meanwhile` is what another controller does for
+/// the user within the given seconds, and `check` gets what the resumed one answered.
+fn suspend_at_each_step(
+    seed: u64,
+    start: impl Fn(u64) -> World,
+    send: impl Fn(&mut World, &str, usize),
+    meanwhile: impl Fn(&mut World, &str, usize, f64) -> bool,
+    mut check: impl FnMut(&World, &str, usize, f64),
+) {
+    for (nth, length_s) in SUSPENSIONS_S.into_iter().enumerate() {
+        let mut w = start(seed + nth as u64);
+        for step_ms in STEPS_MS {
+            let uid = uid_of(step_ms);
+            let (node, other) = (step_ms as usize / 3 % 3, (step_ms as usize / 3 + 1) % 3);
+            send(&mut w, &uid, node);
+            run_for(&mut w, f64::from(step_ms) / 1000.0);
+            if suspend(&mut w, node, &uid, length_s, |w| meanwhile(w, &uid, other, length_s - 0.02)) {
+                check(&w, &uid, node, length_s);
+            }
+            // The machines that moved away return.
+            run_for(&mut w, if length_s > 1.0 { 8.0 } else { 1.0 });
+        }
+    }
+}
+
+/// A controller was suspended while a poll waited there for a read of the store; the answer to the
+/// read came meanwhile. Resumed, it answered `running` (`went_back`) after another controller had
+/// told the user that the job is cancelled.
+#[test]
+fn a_resumed_controller_answers_no_poll_by_a_read_from_before_its_suspension() {
+    let (mut polls, mut answered, mut went_back) = (0, 0, Vec::new());
+    suspend_at_each_step(9800, with_services, World::ask, cancel_and_confirm, |w, uid, node, length_s| {
+        let told = w.told.get(&(uid.to_string(), node)).map_or("", String::as_str);
+        if !matches!(told, "" | "withdrawn") {
+            went_back.push(format!("{uid} after {length_s} s: {told}"));
+        }
+        polls += 1;
+        answered += u32::from(length_s < 1.0 && told == "withdrawn");
+    });
+    assert!(went_back.is_empty(), "{} of {polls} polls went back: {went_back:?}", went_back.len());
+    assert!(polls > 40, "only {polls} polls waited through a suspension and a cancellation");
+    assert!(answered > 15, "only {answered} polls were answered after a short suspension");
+}
+
+/// The same with a job that another controller accepted meanwhile: the resumed one answered 404
+/// (`forgotten`).
+#[test]
+fn a_resumed_controller_denies_no_job_by_a_read_from_before_its_suspension() {
+    let (mut polls, mut forgotten) = (0, Vec::new());
+    suspend_at_each_step(9810, without_jobs, World::ask, accept, |w, uid, node, length_s| {
+        polls += 1;
+        if w.asked[&(uid.to_string(), node)] == 404 {
+            forgotten.push(format!("{uid} after {length_s} s"));
+        }
+    });
+    assert!(forgotten.is_empty(), "{} of {polls} polls got 404: {forgotten:?}", forgotten.len());
+    assert!(polls > 40, "only {polls} polls waited through a suspension and an acceptance");
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -93,6 +93,8 @@
     /// The status of the last answer to a query by `ask`, by job and controller; 0 if there is
     /// none.
     pub asked: BTreeMap<(String, usize), u16>,
+    /// The job's status in that answer; empty if it has none.
+    pub told: BTreeMap<(String, usize), String>,
 }
 
 impl World {
@@ -127,6 +129,7 @@
             delivered_for_term: 0,
             faults_ended_at: None,
             asked: BTreeMap::new(),
+            told: BTreeMap::new(),
         };
         for i in 0..size.controllers {
             w.nodes.push(Node {
--- a/tests/world/nodes.rs
+++ b/tests/world/nodes.rs
@@ -103,6 +103,16 @@
         }
     }
 
+    /// Resumes a paused process as an event loop does that finds everything in its sockets: it
+    /// handles what arrived meanwhile, answers of any age included, in the order of arrival, and
+    /// its timers after that.
+    pub fn resume_with_answers(&mut self, node: usize) {
+        for event in self.nodes[node].paused_events.take().unwrap_or_default() {
+            self.handle_event(node, event);
+        }
+        self.handle_event(node, Event::Tick);
+    }
+
     /// Lets a controller handle an event, and schedules the actions that it emits.
     pub(super) fn handle_event(&mut self, node: usize, event: Event) {
         if let Some(paused_events) = self.nodes[node].paused_events.as_mut() {
